--- /dev/null
+++ b/src/main/java/reedquay/core/Decider.java
@@ -0,0 +1,23 @@
+package reedquay.core;
+
+import java.util.List;
+
+/** What the decisions are told. All inputs between begin and end happened at the same moment. */
+public interface Decider {
+    void begin(long now);
+
+    void list(Listed.ListKind kind, List<Listed> entries);
+
+    void arrived(Rpc rpc);
+
+    /** ended: the RPC has its final answer, by this outcome or earlier. position and role as the answer told. */
+    void done(CallOut callOut, Outcome outcome, long took, boolean ended, long position, Role role, Report report);
+
+    void probed(Member member, Outcome outcome, long took, Report report);
+
+    void clientGone(Rpc rpc);
+
+    void heard(int gateway, byte[] message);
+
+    void end();
+}
--- /dev/null
+++ b/src/main/java/reedquay/core/Effects.java
@@ -0,0 +1,24 @@
+package reedquay.core;
+
+/** What the decisions can bring about; carried out in the order of the calls. */
+public interface Effects {
+    /** The call-out has been added to its RPC's list; limit counts from now. */
+    void callOut(CallOut callOut, long limit);
+
+    void cancel(CallOut callOut);
+
+    /** after: when to come back, 0 for no advice. */
+    void pushBack(Rpc rpc, long after);
+
+    void abort(Rpc rpc);
+
+    void probe(Member member);
+
+    void wakeIn(long delay);
+
+    void tell(byte[] message);
+
+    void subscribe();
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/reedquay/core/Outcome.java
@@ -0,0 +1,13 @@
+package reedquay.core;
+
+/** How a call-out or a probe ended, and whether that proves that it never ran. */
+public enum Outcome {
+    OK(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), RESET(false),
+    CANCELLED(false), NEVER_SENT(true), MISS(true);
+
+    public final boolean provesNeverRan;
+
+    Outcome(boolean provesNeverRan) {
+        this.provesNeverRan = provesNeverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/core/Rpc.java
@@ -0,0 +1,35 @@
+package reedquay.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** An RPC taken from a client, and the call-outs made for it in their order. */
+public final class Rpc {
+    public final long id;
+    public final int group;
+    public final String session;
+    public final long due;
+    public final boolean retry;
+    /** Age of the session's last write at arrival; 0 where there is none. */
+    public final long tokenAge;
+    public final String tenant;
+    /** Null where the settings do not know the method. */
+    public final Method method;
+    public final List<CallOut> callOuts = new ArrayList<>(2);
+    /** The final answer has gone out, or the client has left. */
+    public boolean ended;
+    /** What the decisions keep about it; nobody else reads it. */
+    public Object state;
+
+    public Rpc(long id, int group, String session, long due, boolean retry, long tokenAge, String tenant,
+            Method method) {
+        this.id = id;
+        this.group = group;
+        this.session = session;
+        this.due = due;
+        this.retry = retry;
+        this.tokenAge = tokenAge;
+        this.tenant = tenant;
+        this.method = method;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/route/Router.java
@@ -0,0 +1,744 @@
+package reedquay.route;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
+import java.util.zip.CRC32;
+import reedquay.core.CallOut;
+import reedquay.core.Decider;
+import reedquay.core.Effects;
+import reedquay.core.Listed;
+import reedquay.core.Member;
+import reedquay.core.Method;
+import reedquay.core.Method.Effect;
+import reedquay.core.Method.Need;
+import reedquay.core.Outcome;
+import reedquay.core.Report;
+import reedquay.core.Role;
+import reedquay.core.Rpc;
+import reedquay.core.Settings;
+
+/**
+ * All decisions of one gateway. The host makes one Router an instance, calls begin, any inputs, then end for each
+ * batch, and carries out the Effects that are called meanwhile; inputs, effects and settings are in reedquay.core.
+ * Read it in this order: the table of an RPC's life and its loop, the draw and the estimate, the guards, health.
+ */
+public final class Router implements Decider {
+    enum State { NEW, HELD, OUT, ENDED }
+
+    enum Input { ARRIVE, WAKE, EXPIRE, SLOW, OK, NEVER_RAN, MAY_HAVE_RUN, DUE, LEFT }
+
+    private record Row(State state, Input input, BiPredicate<Router, Job> when, State next,
+            BiConsumer<Router, Job> effect) { }
+
+    private static final BiPredicate<Router, Job> ALWAYS = (r, j) -> true;
+    private static final BiConsumer<Router, Job> NOTHING = (r, j) -> { };
+
+    /** The life of an RPC: the first row whose state, input and condition hold is taken. */
+    private static final Row[] TABLE = {
+        new Row(State.NEW, Input.ARRIVE, Router::unanswerable, State.ENDED, Router::giveUp),
+        new Row(State.NEW, Input.ARRIVE, Router::shed, State.ENDED, Router::giveUp),
+        new Row(State.NEW, Input.ARRIVE, Router::findTarget, State.OUT, Router::send),
+        new Row(State.NEW, Input.ARRIVE, ALWAYS, State.HELD, Router::hold),
+        new Row(State.HELD, Input.WAKE, Router::findTarget, State.OUT, Router::send),
+        new Row(State.HELD, Input.EXPIRE, ALWAYS, State.ENDED, Router::giveUp),
+        new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
+        new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
+        new Row(State.OUT, Input.SLOW, Router::copyMayGo, State.OUT, Router::send),
+        new Row(State.OUT, Input.SLOW, Router::moveMayGo, State.OUT, Router::cancelAll),
+        new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
+        new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
+        new Row(State.OUT, Input.NEVER_RAN, Router::stillOut, State.OUT, NOTHING),
+        new Row(State.OUT, Input.NEVER_RAN, Router::nextMayGo, State.OUT, Router::send),
+        new Row(State.OUT, Input.NEVER_RAN, Router::mayGoOn, State.HELD, Router::hold),
+        new Row(State.OUT, Input.NEVER_RAN, ALWAYS, State.ENDED, Router::giveUp),
+        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::stillOut, State.OUT, NOTHING),
+        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::nextMayGo, State.OUT, Router::send),
+        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::mayGoOn, State.HELD, Router::hold),
+        new Row(State.OUT, Input.MAY_HAVE_RUN, ALWAYS, State.ENDED, Router::giveUp),
+        new Row(State.OUT, Input.DUE, ALWAYS, State.ENDED, Router::giveUpAndCancel),
+        new Row(State.OUT, Input.LEFT, ALWAYS, State.ENDED, Router::cancelAll),
+    };
+
+    private void step(Job job, Input input) {
+        for (Row row : TABLE) {
+            if (row.state == job.state && row.input == input && row.when.test(this, job)) {
+                job.state = row.next;
+                row.effect.accept(this, job);
+                return;
+            }
+        }
+    }
+
+    /** An RPC in hand. */
+    private static final class Job {
+        final Rpc rpc;
+        final Group group;
+        final long arrived;
+        State state = State.NEW;
+        Node target;
+        int out;
+        int further;
+        int misses;
+        long mayHaveRunAt = Long.MAX_VALUE; // when the first call-out that may have run was sent
+        long expiresAt;
+
+        Job(Rpc rpc, Group group, long arrived) {
+            this.rpc = rpc;
+            this.group = group;
+            this.arrived = arrived;
+        }
+
+        boolean at(Node node) {
+            for (CallOut c : rpc.callOuts) {
+                if (c.member == node.member) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
+    private static final class Group {
+        final int number;
+        final List<Node> nodes = new ArrayList<>();
+        final ArrayDeque<Job> held = new ArrayDeque<>();
+        Node primary;
+        boolean news;
+
+        Group(int number) {
+            this.number = number;
+        }
+    }
+
+    /** A member as this gateway sees it. */
+    private static final class Node {
+        final Member member;
+        final Latency latency;
+        final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
+        Group group;
+        boolean open; // listed, and neither draining nor gone
+        boolean listedPrimary;
+        double size = 1;
+        long position = Report.NO_POSITION;
+        Role role = Role.UNKNOWN;
+        long roleAt = Long.MIN_VALUE;
+        int inFlight;
+        long quietSince;
+        boolean aside;
+        boolean mayTry; // while aside: a probe came back, one RPC may be risked
+        boolean broke; // while aside: its process went away, so that it comes back cold
+        long trialAt;
+        long trialWait;
+        long startedAt = Long.MIN_VALUE;
+        boolean probing;
+        long probedAt = Long.MIN_VALUE;
+
+        Node(Member member, long unit) {
+            this.member = member;
+            this.latency = new Latency(unit);
+        }
+    }
+
+    /** Latencies in a few bins, each twice as wide as the one before, halved from time to time. */
+    static final class Latency {
+        private static final int BINS = 8;
+        private static final int FULL = 32;
+        private final int[] counts = new int[BINS];
+        private final long unit;
+        private int total;
+
+        Latency(long unit) {
+            this.unit = unit;
+        }
+
+        void add(long took) {
+            int bin = 0;
+            while (bin < BINS - 1 && took > unit << bin) {
+                bin++;
+            }
+            counts[bin] += 2;
+            total += 2;
+            if (total >= FULL * 2) {
+                total = 0;
+                for (int i = 0; i < BINS; i++) {
+                    counts[i] /= 2;
+                    total += counts[i];
+                }
+            }
+        }
+
+        /** The mean, drawn towards what it starts from while little has been seen. */
+        long mean(long start) {
+            long sum = start;
+            for (int i = 0; i < BINS; i++) {
+                sum += counts[i] * ((unit << i) * 3 / 4);
+            }
+            return sum / (total + 1);
+        }
+
+        /** The upper end of the bin that holds the given share of what was seen. */
+        long below(double share, long absent) {
+            int left = (int) Math.ceil(total * share);
+            for (int i = 0; i < BINS && total > 0; i++) {
+                left -= counts[i];
+                if (left <= 0) {
+                    return unit << i;
+                }
+            }
+            return absent;
+        }
+    }
+
+    private record Wake(long at, long order, Job job, Node node, Input input) { }
+
+    private static final int FURTHER = 2; // the users' standing practice
+    private static final int SCAN = 32; // held RPCs looked at for one group in one batch
+
+    private final Effects effects;
+    private final Settings.Allowed allowed;
+    private final long seed;
+    private final long tick;
+    private final long brisk; // the shortest soft deadline
+    private final long floor;
+    private final long pad;
+    private final long probeAge;
+    private final boolean probesTell;
+    private final boolean answersTell;
+    private final boolean membersCheck;
+    private final boolean remembered;
+    private final long coldFor;
+    private final long coldWindow;
+    private final double coldShare;
+    private final double coldMultiple;
+    private final CRC32 crc = new CRC32();
+    private final TreeMap<Integer, Group> groups = new TreeMap<>();
+    private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
+    private final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Wake> wakes =
+            new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
+    private final Latency all;
+    private long counter;
+    private long order;
+    private long now;
+    private long alarmAt = Long.MAX_VALUE;
+    private long windowStart;
+    private int windowSends;
+    private int lastWindowSends;
+    private boolean started;
+
+    public Router(Settings settings, Effects effects) {
+        this.effects = effects;
+        allowed = settings.allowed();
+        seed = settings.seed();
+        tick = settings.tick();
+        long shortest = Long.MAX_VALUE;
+        long tightest = Long.MAX_VALUE;
+        for (Method m : settings.methods()) {
+            shortest = Math.min(shortest, m.softDeadline());
+            tightest = m.need() == Need.BOUNDED ? Math.min(tightest, m.maxAge()) : tightest;
+        }
+        brisk = shortest == Long.MAX_VALUE ? 1_000_000_000 : shortest;
+        tightest = tightest == Long.MAX_VALUE ? 2_000_000_000 : tightest;
+        probeAge = tightest / 2;
+        floor = tightest / 10;
+        pad = tightest / 10;
+        probesTell = allowed.probes() && settings.positions().inProbes();
+        answersTell = settings.positions().inAnswers() || settings.positions().inAnswerReports();
+        membersCheck = settings.positions().membersCheck();
+        remembered = settings.positions().rememberedTokens();
+        coldFor = settings.rules().coldFor();
+        coldWindow = Math.max(settings.rules().coldWindow(), tick);
+        coldShare = settings.rules().coldShare();
+        coldMultiple = settings.rules().coldMultiple();
+        all = new Latency(brisk / 16);
+    }
+
+    // ---- Inputs ----
+
+    @Override public void begin(long time) {
+        now = time;
+        if (!started && allowed.listOnRequest()) {
+            effects.subscribe();
+        }
+        started = true;
+        if (now - windowStart >= coldWindow) {
+            lastWindowSends = now - windowStart >= 2 * coldWindow ? 0 : windowSends;
+            windowSends = 0;
+            windowStart = now;
+        }
+    }
+
+    @Override public void end() {
+        while (!wakes.isEmpty() && wakes.peek().at <= now) {
+            Wake wake = wakes.poll();
+            if (wake.job != null) {
+                step(wake.job, wake.input);
+            } else if (wake.node != null) {
+                tryAgain(wake.node);
+            } else {
+                effects.subscribe();
+            }
+        }
+        for (Group group : groups.values()) {
+            if (group.news) {
+                group.news = false;
+                wakeHeld(group);
+            }
+        }
+        if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now)) {
+            alarmAt = wakes.peek().at;
+            effects.wakeIn(Math.max(alarmAt - now, 1));
+        }
+    }
+
+    @Override public void list(Listed.ListKind kind, List<Listed> entries) {
+        if (kind == Listed.ListKind.REFUSED) {
+            later(now + brisk, null, null, Input.WAKE);
+            return;
+        }
+        if (kind != Listed.ListKind.CHANGES) {
+            nodes.forEach(n -> n.open = false);
+        }
+        for (Listed entry : entries) {
+            Node node = (Node) entry.member().state;
+            if (node == null) {
+                node = new Node(entry.member(), brisk / 16);
+                entry.member().state = node;
+                nodes.add(node);
+            }
+            if (node.group == null) {
+                node.group = groups.computeIfAbsent(entry.group(), Group::new);
+                node.group.nodes.add(node);
+            }
+            boolean opened = !node.open && entry.phase() == Listed.Phase.UP;
+            node.open = entry.phase() == Listed.Phase.UP;
+            node.listedPrimary = entry.primary();
+            node.size = Math.max(entry.size(), 0.01);
+            if (entry.startedAt() > node.startedAt && entry.startedAt() != 0) {
+                node.startedAt = entry.startedAt();
+            }
+            if (opened && probesTell) {
+                probe(node);
+            }
+            node.group.news = true;
+        }
+        groups.values().forEach(this::choosePrimary);
+    }
+
+    @Override public void arrived(Rpc rpc) {
+        Job job = new Job(rpc, groups.get(rpc.group), now);
+        rpc.state = job;
+        step(job, Input.ARRIVE);
+        if (job.state != State.ENDED) {
+            later(rpc.due - tick, job, null, Input.DUE);
+        }
+    }
+
+    @Override public void done(CallOut call, Outcome outcome, long took, boolean ended, long position, Role role,
+            Report report) {
+        Node node = (Node) call.member.state;
+        Job job = (Job) call.rpc.state;
+        node.inFlight--;
+        job.out--;
+        learn(node, position, role, now);
+        learn(node, report.position(), report.role(), report.position());
+        health(node, outcome, took, call.rpc.method);
+        if (outcome == Outcome.OK && remembered && call.rpc.method.need() == Need.WRITE && call.rpc.session != null) {
+            writes.merge(call.rpc.session, position == Report.NO_POSITION ? now : position + 1_000_000, Math::max);
+        }
+        if (!outcome.provesNeverRan) {
+            job.mayHaveRunAt = Math.min(job.mayHaveRunAt, call.sentAt);
+        }
+        if (outcome == Outcome.MISS) {
+            job.misses++;
+        }
+        node.group.news = true;
+        step(job, ended ? Input.OK : outcome.provesNeverRan ? Input.NEVER_RAN : Input.MAY_HAVE_RUN);
+    }
+
+    @Override public void probed(Member member, Outcome outcome, long took, Report report) {
+        Node node = (Node) member.state;
+        node.probing = false;
+        learn(node, report.position(), report.role(), report.position());
+        node.group.news = true;
+        if (node.aside) {
+            node.mayTry = outcome == Outcome.OK;
+        }
+    }
+
+    @Override public void clientGone(Rpc rpc) {
+        step((Job) rpc.state, Input.LEFT);
+    }
+
+    @Override public void heard(int gateway, byte[] message) {
+        // nothing is told among gateways yet
+    }
+
+    /** Newest evidence counts, by the time at which it was true. */
+    private void learn(Node node, long position, Role role, long at) {
+        if (position != Report.NO_POSITION) {
+            node.position = Math.max(node.position, Math.min(position, now));
+        }
+        if (role != Role.UNKNOWN && at >= node.roleAt) {
+            node.role = role;
+            node.roleAt = at;
+            choosePrimary(node.group);
+        }
+    }
+
+    private void choosePrimary(Group group) {
+        Node best = null;
+        for (Node n : group.nodes) {
+            if (n.role == Role.PRIMARY && (best == null || n.roleAt > best.roleAt)) {
+                best = n;
+            }
+        }
+        for (Node n : group.nodes) {
+            if (best == null && n.listedPrimary && n.role == Role.UNKNOWN && n.open) {
+                best = n; // the list is late or of the morning: it counts only where nothing else is known
+            }
+        }
+        if (best != group.primary) {
+            if (best != null && group.primary != null) {
+                effects.log("group " + group.number + ": primary is now " + best.member.id);
+            }
+            group.primary = best;
+        }
+    }
+
+    // ---- Conditions and effects of the table ----
+
+    private boolean unanswerable(Job job) {
+        return job.group == null || job.rpc.method == null || job.group.nodes.isEmpty();
+    }
+
+    private boolean shed(Job job) {
+        return false;
+    }
+
+    private boolean stillOut(Job job) {
+        return job.out > 0;
+    }
+
+    /** Rule 2, the cap, and the standing practice on further call-outs. */
+    private boolean mayGoOn(Job job) {
+        if (job.rpc.callOuts.size() >= allowed.callOuts() || now >= job.rpc.due - tick) {
+            return false;
+        }
+        if (job.further >= FURTHER) {
+            return false;
+        }
+        return mayRepeat(job);
+    }
+
+    /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
+    private boolean mayRepeat(Job job) {
+        long first = job.mayHaveRunAt;
+        if (job.out > 0) {
+            for (CallOut c : job.rpc.callOuts) {
+                first = c.ended ? first : Math.min(first, c.sentAt);
+            }
+        }
+        return first == Long.MAX_VALUE || switch (job.rpc.method.effect()) {
+            case IDEMPOTENT -> true;
+            case TOKENED -> now + tick < first + job.rpc.method.window();
+            case NON_IDEMPOTENT -> false;
+        };
+    }
+
+    private boolean nextMayGo(Job job) {
+        return mayGoOn(job) && findTarget(job);
+    }
+
+    private boolean silentAndMayGoOn(Job job) {
+        Node last = (Node) job.rpc.callOuts.get(job.rpc.callOuts.size() - 1).member.state;
+        if (last.inFlight > 0 && now - last.quietSince >= silence()) {
+            putAside(last); // it has been given work and has told nothing since, whatever the cause
+        }
+        return last.aside && mayGoOn(job);
+    }
+
+    private boolean copyMayGo(Job job) {
+        return allowed.overlap() && silentAndMayGoOn(job) && findTarget(job);
+    }
+
+    private boolean moveMayGo(Job job) {
+        return !allowed.overlap() && allowed.cancel() && silentAndMayGoOn(job) && findTarget(job);
+    }
+
+    private void send(Job job) {
+        Node node = job.target;
+        CallOut call = new CallOut(job.rpc, node.member, now);
+        if (!job.rpc.callOuts.isEmpty()) {
+            job.further += job.misses > 0 ? 0 : 1;
+        }
+        job.rpc.callOuts.add(call);
+        job.out++;
+        if (node.inFlight++ == 0) {
+            node.quietSince = now;
+        }
+        node.mayTry = false;
+        node.sends.addLast(now);
+        windowSends++;
+        effects.callOut(call, 0);
+        watch(job);
+    }
+
+    private void watch(Job job) {
+        later(now + silence(), job, null, Input.SLOW);
+    }
+
+    private void cancelAll(Job job) {
+        for (CallOut c : job.rpc.callOuts) {
+            if (!c.ended && allowed.cancel()) {
+                effects.cancel(c);
+            }
+        }
+    }
+
+    private void hold(Job job) {
+        Method m = job.rpc.method;
+        boolean late = m.lateShare() > 0;
+        long end = m.need() == Need.WRITE || m.need() == Need.FRESH
+                ? job.arrived + (late ? m.deadline() : m.softDeadline()) - 2 * tick
+                : job.arrived + m.softDeadline() / 2;
+        if (job.mayHaveRunAt != Long.MAX_VALUE && m.effect() == Effect.TOKENED) {
+            end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
+        }
+        job.expiresAt = Math.max(now, Math.min(end, job.rpc.due - 2 * tick));
+        job.group.held.addLast(job);
+        later(job.expiresAt, job, null, Input.EXPIRE);
+        if (probesTell) {
+            job.group.nodes.forEach(this::probe);
+        }
+    }
+
+    private void giveUp(Job job) {
+        Method m = job.rpc.method;
+        boolean harmless = job.mayHaveRunAt == Long.MAX_VALUE && job.out == 0 || m.effect() == Effect.IDEMPOTENT
+                || m.effect() == Effect.TOKENED && m.scope() == Method.Scope.ALL;
+        if (harmless) {
+            effects.pushBack(job.rpc, allowed.retryAfter() ? Math.min(brisk, allowed.longestRetryAfter()) : 0);
+        } else {
+            effects.abort(job.rpc);
+        }
+    }
+
+    private void giveUpAndCancel(Job job) {
+        giveUp(job);
+        cancelAll(job);
+    }
+
+    private void wakeHeld(Group group) {
+        for (int i = Math.min(group.held.size(), SCAN); i > 0; i--) {
+            Job job = group.held.pollFirst();
+            step(job, Input.WAKE);
+            if (job.state == State.HELD) {
+                group.held.addLast(job);
+            }
+        }
+    }
+
+    private void later(long at, Job job, Node node, Input input) {
+        wakes.add(new Wake(Math.max(at, now + 1), order++, job, node, input));
+    }
+
+    // ---- The draw ----
+
+    private boolean findTarget(Job job) {
+        Need need = job.rpc.method.need();
+        job.target = need == Need.WRITE || need == Need.FRESH ? lead(job, need) : replica(job);
+        return job.target != null;
+    }
+
+    /** The last known primary; while none is known, writes try members in turn, for one round or half the cap. */
+    private Node lead(Job job, Need need) {
+        Node primary = job.group.primary;
+        if (primary != null) {
+            return usable(primary) ? primary : null;
+        }
+        if (need == Need.FRESH || job.misses >= Math.min(job.group.nodes.size(), allowed.callOuts() / 2)) {
+            return null;
+        }
+        Node best = null;
+        for (Node n : job.group.nodes) {
+            boolean fresh = n.role == Role.REPLICA && now - n.roleAt < allowed.connectTimeout();
+            if (usable(n) && !fresh && !job.at(n) && (best == null || n.roleAt < best.roleAt)) {
+                best = n;
+            }
+        }
+        return best;
+    }
+
+    private Node replica(Job job) {
+        double sum = 0;
+        boolean anyReplica = false;
+        long bound = bound(job);
+        Node oldest = null;
+        Node[] fit = new Node[job.group.nodes.size()];
+        double[] weight = new double[fit.length];
+        int count = 0;
+        for (Node n : job.group.nodes) {
+            if (n.aside && n.mayTry && n.open && warmEnough(n) && (bound == Long.MAX_VALUE || estimate(n) < bound)) {
+                return n; // a silent member comes back by being tried a little
+            }
+            if (n == job.group.primary || !usable(n)) {
+                continue;
+            }
+            anyReplica = true;
+            if (bound != Long.MAX_VALUE && probesTell && now - probeAge >= n.position
+                    && now - probeAge >= n.probedAt) {
+                probe(n);
+            }
+            if (bound != Long.MAX_VALUE && estimate(n) >= bound) {
+                continue;
+            }
+            if (job.at(n) && job.group.nodes.size() > 2) {
+                continue;
+            }
+            fit[count] = n;
+            weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (double) (n.inFlight + 1));
+            sum += weight[count++];
+            if (n.inFlight == 0 && now - probeAge >= n.position && (oldest == null || n.position < oldest.position)) {
+                oldest = n;
+            }
+        }
+        if (job.rpc.method.need() == Need.ANY && answersTell && !probesTell && oldest != null) {
+            return oldest; // no probe can refresh a position here: a read that any member may answer does
+        }
+        if (!anyReplica && job.group.primary != null && usable(job.group.primary)) {
+            return job.group.primary; // no replica is left at all: the primary is the only reader
+        }
+        double at = chance() * sum;
+        for (int i = 0; i < count; i++) {
+            at -= weight[i];
+            if (at < 0 || i == count - 1) {
+                return fit[i];
+            }
+        }
+        return null;
+    }
+
+    /** The lag that the data may have now; the largest number where any will do. */
+    private long bound(Job job) {
+        Method m = job.rpc.method;
+        if (m.need() == Need.BOUNDED) {
+            return m.maxAge();
+        }
+        if (m.need() == Need.SESSION && remembered) {
+            Long write = job.rpc.session == null ? null : writes.get(job.rpc.session);
+            return write == null ? Long.MAX_VALUE : now - write;
+        }
+        return m.need() == Need.SESSION && job.rpc.tokenAge > 0
+                ? now - job.arrived + job.rpc.tokenAge : Long.MAX_VALUE;
+    }
+
+    /** Lag by the clock since the last known position, floored and padded; the window is the newest reading. */
+    private long estimate(Node node) {
+        if (node.position == Report.NO_POSITION) {
+            return Long.MAX_VALUE;
+        }
+        return Math.max(now - node.position, floor) + pad;
+    }
+
+    private double chance() {
+        crc.reset();
+        for (long word : new long[] {seed, counter++}) {
+            for (int i = 0; i < 64; i += 8) {
+                crc.update((int) (word >>> i));
+            }
+        }
+        return crc.getValue() / 4294967296.0;
+    }
+
+    // ---- Guards ----
+
+    private boolean usable(Node node) {
+        return node.open && !node.aside && warmEnough(node);
+    }
+
+    /** Rule 4: a cold member gets less than its share of what warm ones take, in every window. */
+    private boolean warmEnough(Node node) {
+        while (!node.sends.isEmpty() && node.sends.peekFirst() <= now - coldWindow) {
+            node.sends.pollFirst();
+        }
+        if (node.startedAt == Long.MIN_VALUE || now - node.startedAt >= coldFor) {
+            return true;
+        }
+        double grown = Math.max(0, now - node.startedAt) / (double) coldFor;
+        double share = coldShare + (1 - coldShare) * grown;
+        double typical = Math.max(lastWindowSends, windowSends) / (double) Math.max(1, nodes.size());
+        return node.sends.size() + 1 <= Math.max(1, coldMultiple * share * typical * 0.6);
+    }
+
+    // ---- Health ----
+
+    private long silence() {
+        return Math.max(all.below(0.95, brisk), brisk / 4);
+    }
+
+    private void health(Node node, Outcome outcome, long took, Method method) {
+        switch (outcome) {
+            case OK -> {
+                node.latency.add(took);
+                all.add(took);
+            }
+            case ERROR, FULL -> node.latency.add(Math.max(took, method.softDeadline()));
+            case TIMED_OUT -> node.latency.add(took);
+            case NO_CONNECTION, RESET -> {
+                node.broke = true;
+                putAside(node);
+            }
+            default -> { }
+        }
+        if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL || outcome == Outcome.MISS) {
+            node.quietSince = now;
+            if (node.aside) {
+                node.aside = false;
+                node.trialWait = 0;
+                if (node.broke) {
+                    node.startedAt = Math.max(node.startedAt, now);
+                }
+                node.broke = false;
+                effects.log(node.member.id + " answers again");
+            }
+        }
+    }
+
+    private void putAside(Node node) {
+        if (!node.aside) {
+            node.aside = true;
+            node.mayTry = false;
+            node.trialWait = silence();
+            later(now + node.trialWait, null, node, Input.WAKE);
+            effects.log(node.member.id + " is put aside");
+        }
+    }
+
+    private void tryAgain(Node node) {
+        if (!node.aside || !node.open) {
+            return;
+        }
+        if (allowed.probes()) {
+            probe(node);
+        } else {
+            node.mayTry = true;
+        }
+        node.trialWait = Math.min(node.trialWait * 2, 4 * brisk);
+        later(now + node.trialWait, null, node, Input.WAKE);
+    }
+
+    private void probe(Node node) {
+        if (allowed.probes() && !node.probing && node.open) {
+            node.probing = true;
+            node.probedAt = now;
+            effects.probe(node.member);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -0,0 +1,290 @@
+package reedquay.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import reedquay.core.CallOut;
+import reedquay.core.Decider;
+import reedquay.core.Effects;
+import reedquay.core.Listed;
+import reedquay.core.Member;
+import reedquay.core.Method;
+import reedquay.core.Outcome;
+import reedquay.core.Report;
+import reedquay.core.Role;
+import reedquay.core.Rpc;
+import reedquay.core.Settings;
+
+/** One instance: ids become objects here, and the decisions' effects become lines. */
+final class Gateway implements Effects {
+    final long id;
+    private final Decider decider;
+    private final Map<String, Method> methods = new HashMap<>();
+    private final Map<String, Member> members = new HashMap<>();
+    private final Map<Long, Rpc> rpcs = new HashMap<>();
+    private final Set<String> complained = new HashSet<>();
+    private final String[] reportNames;
+    private final boolean progressTold;
+    private final long zero;
+    private final StringBuilder out = new StringBuilder();
+
+    Gateway(long id, long seed, Pairs pairs, SimHost.Maker maker) {
+        this.id = id;
+        Settings settings = pairs.settings(seed);
+        reportNames = pairs.reportNames();
+        zero = pairs.zero();
+        progressTold = settings.positions().inAnswers();
+        settings.methods().forEach(m -> methods.put(m.name(), m));
+        decider = maker.make(settings, this);
+    }
+
+    void begin(long now) {
+        decider.begin(now);
+    }
+
+    /** Appends what this instance does, under its own heading. */
+    void end(StringBuilder reply) {
+        decider.end();
+        if (out.length() > 0) {
+            reply.append("AS ").append(id).append('\n').append(out);
+            out.setLength(0);
+        }
+    }
+
+    void event(String name, Fields line, String[][] lists) {
+        switch (name) {
+            case "JOB_IN" -> arrived(line);
+            case "DONE" -> done(line);
+            case "ALARM" -> line.integer("the alarm's name");
+            case "MEMBERSHIP" -> membership(line, lists);
+            case "HEALTH" -> {
+                Member member = member(line);
+                Outcome outcome = outcome(line);
+                long took = line.millis("the time it took");
+                decider.probed(member, outcome, took, report(line));
+            }
+            case "CLIENT_GONE" -> {
+                Rpc rpc = rpcs.get(line.integer("a request id"));
+                if (rpc == null) {
+                    complain("a client left whose RPC is not known here");
+                    return;
+                }
+                rpc.ended = true;
+                decider.clientGone(rpc);
+                forget(rpc);
+            }
+            case "WHISPER" -> {
+                int from = (int) line.integer("the sender's number");
+                String hex = line.optional("hex digits");
+                try {
+                    decider.heard(from, HexFormat.of().parseHex(hex == null ? "" : hex));
+                } catch (IllegalArgumentException e) {
+                    throw line.bad("hex digits");
+                }
+            }
+            case "ACCEPTED" -> complain("a stream began, and no method here streams");
+            default -> throw line.bad("the name of an event");
+        }
+    }
+
+    private void arrived(Fields line) {
+        long handle = line.integer("a request id");
+        int group = (int) line.integerOr(-1, "a group's number");
+        String session = line.optional("a session key");
+        line.numberOr(0, "a size hint");
+        long due = line.millis("the clock time at which the client gives up");
+        long opts = line.integerOr(0, "a sum of bit values");
+        long tokenAge = line.millisOr(0, "the token's age");
+        String tenant = line.optional("a tenant");
+        String grade = line.optional("a class");
+        Method method = methods.get(grade);
+        Rpc rpc = new Rpc(handle, group, session, due, (opts & 2) != 0, tokenAge, tenant, method);
+        rpcs.put(handle, rpc);
+        decider.arrived(rpc);
+    }
+
+    private void done(Fields line) {
+        Rpc rpc = rpcs.get(line.integer("a request id"));
+        long stamp = line.integerOr(0, "a stamp");
+        int attempt = (int) line.integer("an attempt's number");
+        Outcome outcome = outcome(line);
+        long took = line.millis("the time it took");
+        boolean ended = line.bool("1 or 0");
+        line.word("a database server");
+        Report report = report(line);
+        if (rpc == null || attempt < 0 || attempt >= rpc.callOuts.size() || rpc.callOuts.get(attempt).ended) {
+            complain("an outcome came for a call-out that is not known here");
+            return;
+        }
+        CallOut callOut = rpc.callOuts.get(attempt);
+        callOut.ended = true;
+        rpc.ended |= ended;
+        long millis = stamp >> 2;
+        if (outcome == Outcome.OK && rpc.method.need() == Method.Need.WRITE) {
+            millis--; // a commit is rounded up, a position down
+        }
+        long position = progressTold && stamp != 0 ? zero + millis * 1_000_000 : Report.NO_POSITION;
+        Role role = (stamp & 3) == 1 ? Role.PRIMARY : (stamp & 3) == 2 ? Role.REPLICA : Role.UNKNOWN;
+        decider.done(callOut, outcome, took, ended, position, role, report);
+        forget(rpc);
+    }
+
+    private void membership(Fields line, String[][] lists) {
+        Listed.ListKind kind = switch (line.word("the form of the list")) {
+            case "all" -> Listed.ListKind.FULL;
+            case "changes" -> Listed.ListKind.CHANGES;
+            case "remembered" -> Listed.ListKind.REMEMBERED;
+            case "refused" -> Listed.ListKind.REFUSED;
+            default -> throw line.bad("all, changes, remembered or refused");
+        };
+        line.optional("the list's version");
+        List<Listed> entries = new ArrayList<>();
+        if (kind != Listed.ListKind.REFUSED) {
+            int ref = (int) line.integer("a list number");
+            if (ref < 0 || ref > 15 || lists[ref] == null) {
+                throw line.bad("the number of a list that was defined");
+            }
+            for (String text : lists[ref]) {
+                entries.add(entry(new Fields(text)));
+            }
+        }
+        decider.list(kind, entries);
+    }
+
+    private Listed entry(Fields line) {
+        line.name();
+        Member member = members.computeIfAbsent(line.word("a database server"), Member::new);
+        String zone = line.optional("a zone");
+        String kind = line.optional("a kind of machine");
+        int group = (int) line.integerOr(-1, "a group's number");
+        Listed.Phase phase = switch (line.word("U, L or D")) {
+            case "U" -> Listed.Phase.UP;
+            case "L" -> Listed.Phase.DRAINING;
+            case "D" -> Listed.Phase.GONE;
+            default -> throw line.bad("U, L or D");
+        };
+        boolean leads = line.numberOr(0, "1 for the primary") == 1;
+        double heft = line.numberOr(1, "a size");
+        return new Listed(member, zone, kind, group, phase, leads, heft, line.millisOr(0, "the time of its start"));
+    }
+
+    private Member member(Fields line) {
+        Member member = members.get(line.word("a database server"));
+        if (member == null) {
+            throw line.bad("a database server that a list has named");
+        }
+        return member;
+    }
+
+    private static Outcome outcome(Fields line) {
+        return switch (line.word("an outcome")) {
+            case "GOOD" -> Outcome.OK;
+            case "BAD" -> Outcome.ERROR;
+            case "FULL" -> Outcome.FULL;
+            case "LATE" -> Outcome.TIMED_OUT;
+            case "NOCONN" -> Outcome.NO_CONNECTION;
+            case "RST" -> Outcome.RESET;
+            case "CXL" -> Outcome.CANCELLED;
+            case "NOP" -> Outcome.NEVER_SENT;
+            case "MISS" -> Outcome.MISS;
+            default -> throw line.bad("an outcome");
+        };
+    }
+
+    private Report report(Fields line) {
+        String row = line.optional("a load report");
+        if (row == null) {
+            return Report.NONE;
+        }
+        String[] values = row.split(",", -1);
+        if (values.length > reportNames.length) {
+            throw line.bad("no more report values than there are names");
+        }
+        long position = Report.NO_POSITION;
+        Role role = Role.UNKNOWN;
+        double queue = -1;
+        double busy = -1;
+        double inFlight = -1;
+        for (int i = 0; i < values.length; i++) {
+            if (values[i].isEmpty() || values[i].equals("-")) {
+                continue;
+            }
+            double value = line.scaled(values[i], 9, "a report value") / 1e9;
+            switch (reportNames[i]) {
+                case "x0" -> position = zero + line.scaled(values[i], 9, "a position");
+                case "x1" -> role = value >= 0.5 ? Role.PRIMARY : Role.REPLICA;
+                case "waiting" -> queue = value;
+                case "cpu" -> busy = value;
+                case "active" -> inFlight = value;
+                default -> { }
+            }
+        }
+        return new Report(position, role, queue, busy, inFlight);
+    }
+
+    private void forget(Rpc rpc) {
+        if (rpc.ended && rpc.callOuts.stream().allMatch(c -> c.ended)) {
+            rpcs.remove(rpc.id);
+        }
+    }
+
+    private void complain(String text) {
+        if (complained.add(text)) {
+            log(text);
+        }
+    }
+
+    private StringBuilder timed(String name, long nanos) {
+        out.append(name).append(' ');
+        Fields.appendMillis(out, nanos);
+        return out;
+    }
+
+    @Override public void callOut(CallOut callOut, long limit) {
+        out.append("DELIVER ").append(callOut.rpc.id).append(' ');
+        timed(callOut.member.id, limit).append('\n');
+    }
+
+    @Override public void cancel(CallOut callOut) {
+        out.append("ABANDON ").append(callOut.rpc.id).append(' ');
+        out.append(callOut.rpc.callOuts.indexOf(callOut)).append('\n');
+    }
+
+    @Override public void pushBack(Rpc rpc, long after) {
+        out.append("PUSH_BACK ").append(rpc.id).append(' ');
+        Fields.appendMillis(out, after);
+        out.append('\n');
+        rpc.ended = true;
+        forget(rpc);
+    }
+
+    @Override public void abort(Rpc rpc) {
+        out.append("ABORT ").append(rpc.id).append('\n');
+        rpc.ended = true;
+        forget(rpc);
+    }
+
+    @Override public void probe(Member member) {
+        out.append("SAMPLE ").append(member.id).append('\n');
+    }
+
+    @Override public void wakeIn(long delay) {
+        timed("SET_ALARM", delay).append(" 0\n");
+    }
+
+    @Override public void tell(byte[] message) {
+        out.append("NOTIFY -1 ").append(HexFormat.of().formatHex(message)).append('\n');
+    }
+
+    @Override public void subscribe() {
+        out.append("OBSERVE 1\n");
+    }
+
+    @Override public void log(String line) {
+        out.append("EMIT ").append(line.replace('\n', ' ')).append('\n');
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/sim/Pairs.java
@@ -0,0 +1,127 @@
+package reedquay.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import reedquay.core.Method;
+import reedquay.core.Settings;
+
+/** The settings of a SPAWN line; keys it does not know are passed over. */
+final class Pairs {
+    private final Map<String, String> values = new HashMap<>();
+    private final Fields line;
+
+    Pairs(Fields line) {
+        this.line = line;
+        while (line.more()) {
+            String pair = line.optional("a pair path=value");
+            int eq = pair == null ? -1 : pair.indexOf('=');
+            if (eq < 0) {
+                throw line.bad("a pair path=value");
+            }
+            values.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+    }
+
+    Settings settings(long seed) {
+        List<Method> methods = new ArrayList<>();
+        String[] needs = list("Domain.ClassRead");
+        String[] ages = list("Domain.MaxAge");
+        for (int i = 0; i < (int) number("Grades.count", 0); i++) {
+            String at = "Grades." + i + ".";
+            methods.add(new Method(text(at + "Name", ""), need(i < needs.length ? needs[i] : "fresh"),
+                    i < ages.length ? millis(ages[i]) : 0, time(at + "OnTime", 0), time(at + "GiveUp", 0),
+                    number(at + "Worth", 1), number(at + "LateWorth", 0), effect(text(at + "Repeat", "single_shot")),
+                    scope(text(at + "Group", "cell")), time(at + "Window", 0)));
+        }
+        List<Settings.Tenant> tenants = new ArrayList<>();
+        for (int i = 0; i < (int) number("Tenants.count", 0); i++) {
+            tenants.add(new Settings.Tenant(text("Tenants." + i + ".Name", ""),
+                    number("Tenants." + i + ".QuotaPerS", Double.MAX_VALUE)));
+        }
+        String how = text("Report.How", "silent");
+        boolean x0 = List.of(reportNames()).contains("x0");
+        return new Settings(seed, text("MyZone", ""), (int) number("Index", 0),
+                Math.max(1, (int) number("PeersTotal", 1)), time("Tick", 1), methods, tenants,
+                new Settings.Allowed(flag("Allowed.Probes"), flag("Allowed.Peers"), flag("Allowed.Cancel"),
+                        flag("Allowed.MayDuplicate"), flag("Allowed.RetryAfter"), time("Allowed.MaxRetryAfter", 0),
+                        (int) number("Allowed.SendCap", 1), time("Allowed.ConnectTimeout", 0),
+                        text("RegistryMode", "pushed").equals("on_request")),
+                new Settings.Rules(number("Rules.ColdShare", 1), time("Rules.Cold", 0),
+                        number("Rules.OverloadFactor", 1), time("Rules.Fall", 0), time("Rules.DrainGrace", 0),
+                        time("Rules.GraceToAnswer", 0), time("Rules.AskEvery", 0)),
+                new Settings.Positions(flag("Domain.ProgressTold"), how.equals("piggyback") && x0,
+                        !how.equals("silent") && x0, text("Domain.TokenMode", "carried").equals("remembered"),
+                        !text("Domain.Guards", "silent").equals("silent")),
+                new Settings.Prices(number("Deductions.CrossZone", 0), number("Deductions.Waste", 0),
+                        number("Deductions.Probe", 0), number("Deductions.Peer", 0),
+                        number("Deductions.LateFail", 0)));
+    }
+
+    String[] reportNames() {
+        return list("Report.Names");
+    }
+
+    /** The clock time from which positions count. */
+    long zero() {
+        return time("Domain.CountedFrom", 0);
+    }
+
+    private static Method.Need need(String word) {
+        return switch (word) {
+            case "write" -> Method.Need.WRITE;
+            case "session" -> Method.Need.SESSION;
+            case "bounded" -> Method.Need.BOUNDED;
+            case "any" -> Method.Need.ANY;
+            default -> Method.Need.FRESH;
+        };
+    }
+
+    private static Method.Effect effect(String word) {
+        return switch (word) {
+            case "free" -> Method.Effect.IDEMPOTENT;
+            case "guarded" -> Method.Effect.TOKENED;
+            default -> Method.Effect.NON_IDEMPOTENT;
+        };
+    }
+
+    private static Method.Scope scope(String word) {
+        return switch (word) {
+            case "all" -> Method.Scope.ALL;
+            case "zone", "same_zone" -> Method.Scope.ZONE;
+            default -> Method.Scope.GROUP;
+        };
+    }
+
+    private String text(String path, String absent) {
+        return values.getOrDefault(path, absent);
+    }
+
+    private String[] list(String path) {
+        String value = text(path, "");
+        return value.isEmpty() ? new String[0] : value.split(",");
+    }
+
+    private boolean flag(String path) {
+        return text(path, "false").equals("true") || text(path, "false").equals("1");
+    }
+
+    private double number(String path, double absent) {
+        String value = values.get(path);
+        try {
+            return value == null ? absent : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            throw line.bad("a number for " + path);
+        }
+    }
+
+    private long time(String path, long absent) {
+        String value = values.get(path);
+        return value == null ? absent : millis(value);
+    }
+
+    private long millis(String value) {
+        return line.scaled(value, 6, "a time in milliseconds instead of " + value);
+    }
+}
