Members that turn work away rest, and the room at each shrinks with its latency

It should also catch a member that fails fast and a shared slowness; it could hold reads back where latencies are long for reasons other than queues.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -27,7 +27,6 @@
     /** The life of an RPC: the first row whose state, input and condition hold is taken. */
     private static final Row[] TABLE = {
         new Row(State.NEW, Input.ARRIVE, Router::unanswerable, State.ENDED, Router::giveUp),
-        new Row(State.NEW, Input.ARRIVE, Router::shed, State.ENDED, Router::giveUp),
         new Row(State.NEW, Input.ARRIVE, Router::findTarget, State.OUT, Router::send),
         new Row(State.NEW, Input.ARRIVE, ALWAYS, State.HELD, Router::hold),
         new Row(State.HELD, Input.WAKE, Router::findTarget, State.OUT, Router::send),
@@ -67,11 +66,8 @@
         final long arrived;
         State state = State.NEW;
         Node target;
-        int out;
-        int further;
-        int misses;
+        int out, further, misses;
         long mayHaveRunAt = Long.MAX_VALUE; // when the first call-out that may have run was sent
-        long expiresAt;
 
         Job(Rpc rpc, Group group, long arrived) {
             this.rpc = rpc;
@@ -107,24 +103,21 @@
         final Latency latency;
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
         Group group;
-        boolean open; // listed, and neither draining nor gone
-        boolean listedPrimary;
-        double size = 1;
-        long position = Report.NO_POSITION;
+        boolean open, listedPrimary; // open: listed, and neither draining nor gone
         Role role = Role.UNKNOWN;
-        long roleAt = Long.MIN_VALUE;
+        long position = Report.NO_POSITION;
+        long roleAt = Long.MIN_VALUE, startedAt = Long.MIN_VALUE, probedAt = Long.MIN_VALUE;
         int inFlight;
-        long quietSince;
-        boolean aside;
+        double room; // how many call-outs may be in flight
+        int strikes; // times turned away in a row
+        long restUntil = Long.MIN_VALUE, cutAt = Long.MIN_VALUE;
+        boolean aside, probing;
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         boolean broke; // while aside: its process went away, so that it comes back cold
-        long trialAt;
-        long trialWait;
-        long startedAt = Long.MIN_VALUE;
-        boolean probing;
-        long probedAt = Long.MIN_VALUE;
+        long quietSince, trialWait;
 
-        Node(Member member, long unit) {
+        Node(Member member, long unit, double room) {
+            this.room = room;
             this.member = member;
             this.latency = new Latency(unit);
         }
@@ -183,24 +176,15 @@
     private record Wake(long at, long order, Job job, Node node, Input input) { }
 
     private static final int FURTHER = 2; // the users' standing practice
+    private static final int ROOM = 8; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
 
     private final Effects effects;
     private final Settings.Allowed allowed;
-    private final long seed;
-    private final long tick;
+    private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow;
     private final long brisk; // the shortest soft deadline
-    private final long floor;
-    private final long pad;
-    private final long probeAge;
-    private final boolean probesTell;
-    private final boolean answersTell;
-    private final boolean membersCheck;
-    private final boolean remembered;
-    private final long coldFor;
-    private final long coldWindow;
-    private final double coldShare;
-    private final double coldMultiple;
+    private final boolean probesTell, answersTell, membersCheck, remembered;
+    private final double coldShare, coldMultiple;
     private final CRC32 crc = new CRC32();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
@@ -208,13 +192,9 @@
     private final PriorityQueue<Wake> wakes =
             new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
     private final Latency all;
-    private long counter;
-    private long order;
-    private long now;
+    private long counter, order, now, windowStart;
     private long alarmAt = Long.MAX_VALUE;
-    private long windowStart;
-    private int oks;
-    private int lastOks;
+    private int oks, lastOks; // answers in this cold window and in the one before
     private boolean started;
 
     public Router(Settings settings, Effects effects) {
@@ -265,7 +245,10 @@
             if (wake.job != null) {
                 step(wake.job, wake.input);
             } else if (wake.node != null) {
-                tryAgain(wake.node);
+                wake.node.group.news = true;
+                if (wake.input == Input.WAKE) {
+                    tryAgain(wake.node);
+                }
             } else {
                 effects.subscribe();
             }
@@ -293,7 +276,7 @@
         for (Listed entry : entries) {
             Node node = (Node) entry.member().state;
             if (node == null) {
-                node = new Node(entry.member(), brisk / 16);
+                node = new Node(entry.member(), brisk / 16, ROOM);
                 entry.member().state = node;
                 nodes.add(node);
             }
@@ -304,7 +287,6 @@
             boolean opened = !node.open && entry.phase() == Listed.Phase.UP;
             node.open = entry.phase() == Listed.Phase.UP;
             node.listedPrimary = entry.primary();
-            node.size = Math.max(entry.size(), 0.01);
             if (entry.startedAt() > node.startedAt && entry.startedAt() != 0) {
                 node.startedAt = entry.startedAt();
             }
@@ -361,9 +343,7 @@
         step((Job) rpc.state, Input.LEFT);
     }
 
-    @Override public void heard(int gateway, byte[] message) {
-        // nothing is told among gateways yet
-    }
+    @Override public void heard(int gateway, byte[] message) { } // nothing is told among gateways
 
     /** Newest evidence counts, by the time at which it was true. */
     private void learn(Node node, long position, Role role, long at) {
@@ -379,16 +359,12 @@
 
     private void choosePrimary(Group group) {
         Node best = null;
-        for (Node n : group.nodes) {
-            if (n.role == Role.PRIMARY && (best == null || n.roleAt > best.roleAt)) {
+        for (Node n : group.nodes) { // the list is late or of the morning: it counts only where nothing else is known
+            boolean listed = n.listedPrimary && n.role == Role.UNKNOWN && n.open;
+            if ((listed || n.role == Role.PRIMARY) && (best == null || n.roleAt > best.roleAt)) {
                 best = n;
             }
         }
-        for (Node n : group.nodes) {
-            if (best == null && n.listedPrimary && n.role == Role.UNKNOWN && n.open) {
-                best = n; // the list is late or of the morning: it counts only where nothing else is known
-            }
-        }
         if (best != group.primary) {
             if (best != null && group.primary != null) {
                 effects.log("group " + group.number + ": primary is now " + best.member.id);
@@ -403,23 +379,14 @@
         return job.group == null || job.rpc.method == null || job.group.nodes.isEmpty();
     }
 
-    private boolean shed(Job job) {
-        return false;
-    }
-
     private boolean stillOut(Job job) {
         return job.out > 0;
     }
 
     /** Rule 2, the cap, and the standing practice on further call-outs. */
     private boolean mayGoOn(Job job) {
-        if (job.rpc.callOuts.size() >= allowed.callOuts() || now >= job.rpc.due - tick) {
-            return false;
-        }
-        if (job.further >= FURTHER) {
-            return false;
-        }
-        return mayRepeat(job);
+        return job.rpc.callOuts.size() < allowed.callOuts() && now < job.rpc.due - tick && job.further < FURTHER
+                && mayRepeat(job);
     }
 
     /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
@@ -460,9 +427,7 @@
     private void send(Job job) {
         Node node = job.target;
         CallOut call = new CallOut(job.rpc, node.member, now);
-        if (!job.rpc.callOuts.isEmpty()) {
-            job.further += job.misses > 0 ? 0 : 1;
-        }
+        job.further += job.rpc.callOuts.isEmpty() || job.misses > 0 ? 0 : 1;
         job.rpc.callOuts.add(call);
         job.out++;
         if (node.inFlight++ == 0) {
@@ -495,9 +460,9 @@
         if (job.mayHaveRunAt != Long.MAX_VALUE && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
-        job.expiresAt = Math.max(now, Math.min(end, job.rpc.due - 2 * tick));
+        end = Math.min(end, job.rpc.due - 2 * tick);
         job.group.held.addLast(job);
-        later(job.expiresAt, job, null, Input.EXPIRE);
+        later(end, job, null, Input.EXPIRE);
         if (probesTell) {
             job.group.nodes.forEach(this::probe);
         }
@@ -572,7 +537,7 @@
             if (n.aside && n.mayTry && n.open && warmEnough(n) && (bound == Long.MAX_VALUE || estimate(n) < bound)) {
                 return n; // a silent member comes back by being tried a little
             }
-            if (n == job.group.primary || !usable(n)) {
+            if (n == job.group.primary || !alive(n)) {
                 continue;
             }
             anyReplica = true;
@@ -580,10 +545,7 @@
                     && now - probeAge >= n.probedAt) {
                 probe(n);
             }
-            if (bound != Long.MAX_VALUE && estimate(n) >= bound) {
-                continue;
-            }
-            if (job.at(n) && job.group.nodes.size() > 2) {
+            if (!usable(n) || bound != Long.MAX_VALUE && estimate(n) >= bound || job.at(n) && job.group.nodes.size() > 2) {
                 continue;
             }
             fit[count] = n;
@@ -625,10 +587,7 @@
 
     /** Lag by the clock since the last known position, floored and padded; the window is the newest reading. */
     private long estimate(Node node) {
-        if (node.position == Report.NO_POSITION) {
-            return Long.MAX_VALUE;
-        }
-        return Math.max(now - node.position, floor) + pad;
+        return node.position == Report.NO_POSITION ? Long.MAX_VALUE : Math.max(now - node.position, floor) + pad;
     }
 
     private double chance() {
@@ -644,7 +603,11 @@
     // ---- Guards ----
 
     private boolean usable(Node node) {
-        return node.open && !node.aside && warmEnough(node);
+        return alive(node) && now >= node.restUntil && node.inFlight < Math.max(1, node.room) && warmEnough(node);
+    }
+
+    private static boolean alive(Node node) {
+        return node.open && !node.aside;
     }
 
     /**
@@ -674,10 +637,19 @@
         switch (outcome) {
             case OK -> {
                 oks++;
+                node.strikes = 0;
                 node.latency.add(took);
                 all.add(took);
+                if (node.latency.mean(brisk / 4) > brisk * 5 / 8) {
+                    cut(node, 7);
+                } else {
+                    node.room = Math.min(node.room + 1 / node.room, 16 * ROOM);
+                }
+            }
+            case ERROR, FULL -> {
+                cut(node, 4);
+                rest(node);
             }
-            case ERROR, FULL -> node.latency.add(Math.max(took, method.softDeadline()));
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION, RESET -> {
                 node.broke = true;
@@ -699,6 +671,22 @@
         }
     }
 
+    /** Guards against queues: the room at a member shrinks by eighths, once for each usual latency. */
+    private void cut(Node node, int eighths) {
+        long usual = node.latency.mean(brisk / 4);
+        if (now - usual >= node.cutAt) {
+            node.cutAt = now;
+            node.room = Math.max(1, Math.min(node.room, node.inFlight + 1) * eighths / 8);
+        }
+    }
+
+    /** Guards against a member that turns work away or fails fast, whose idle look would draw ever more to it. */
+    private void rest(Node node) {
+        long usual = node.latency.mean(brisk / 4);
+        node.restUntil = now + Math.min(usual << Math.min(node.strikes++, 6), 4 * brisk);
+        later(node.restUntil, null, node, Input.OK);
+    }
+
     private void putAside(Node node) {
         if (!node.aside) {
             node.aside = true;
