--- a/src/main/java/reedquay/core/Decider.java
+++ b/src/main/java/reedquay/core/Decider.java
@@ -10,8 +10,9 @@
 
     void arrived(Rpc rpc);
 
-    /** ended: the RPC has its final answer, by this outcome or earlier. position and role as the answer told. */
-    void done(CallOut callOut, Outcome outcome, long took, boolean ended, long position, Role role, Report report);
+    /** ended: the RPC has its final answer, by this outcome or earlier. The answer's position and role. */
+    void done(CallOut callOut, Outcome outcome, long took, boolean ended, long position, Role role,
+            Report report);
 
     void probed(Member member, Outcome outcome, long took, Report report);
 
--- a/src/main/java/reedquay/core/Settings.java
+++ b/src/main/java/reedquay/core/Settings.java
@@ -15,8 +15,8 @@
             long answerGrace, long askEvery) { }
 
     /** Where positions come from, and whether members turn away reads they are too far behind for. */
-    public record Positions(boolean inAnswers, boolean inAnswerReports, boolean inProbes, boolean rememberedTokens,
-            boolean membersCheck) { }
+    public record Positions(boolean inAnswers, boolean inAnswerReports, boolean inProbes,
+            boolean rememberedTokens, boolean membersCheck) { }
 
     public record Prices(double crossing, double waste, double probe, double peer, double lateFailure) { }
 }
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -1,5 +1,6 @@
 package reedquay.route;
 
+import java.nio.ByteBuffer;
 import java.util.*;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
@@ -9,9 +10,10 @@
 import reedquay.core.Method.Need;
 
 /**
- * All decisions of one gateway. The host makes one Router an instance, calls begin, any inputs, then end for each
- * batch, and carries out the Effects that are called meanwhile; inputs, effects and settings are in reedquay.core.
- * Read it in this order: the table of an RPC's life and its loop, the draw and the estimate, the guards, health.
+ * All decisions of one gateway. The host makes one Router an instance, calls begin, any inputs, then end for
+ * each batch, and carries out the Effects called meanwhile. Inputs, effects and settings: reedquay.core.
+ * In this order: the table of an RPC's life and its loop, the state, the inputs, the table's conditions and
+ * effects, the draw with the estimate, the guards, health.
  */
 public final class Router implements Decider {
     enum State { NEW, HELD, OUT, ENDED }
@@ -30,6 +32,7 @@
         new Row(State.NEW, Input.ARRIVE, Router::findTarget, State.OUT, Router::send),
         new Row(State.NEW, Input.ARRIVE, ALWAYS, State.HELD, Router::hold),
         new Row(State.HELD, Input.WAKE, Router::findTarget, State.OUT, Router::send),
+        new Row(State.HELD, Input.EXPIRE, Router::findUnfit, State.OUT, Router::send),
         new Row(State.HELD, Input.EXPIRE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
@@ -59,6 +62,8 @@
         }
     }
 
+    // ---- State ----
+
     /** An RPC in hand. */
     private static final class Job {
         final Rpc rpc;
@@ -67,7 +72,7 @@
         State state = State.NEW;
         Node target;
         int out, further, misses;
-        long mayHaveRunAt = Long.MAX_VALUE; // when the first call-out that may have run was sent
+        long mayHaveRunAt = NEVER; // when the first call-out that may have run was sent
 
         Job(Rpc rpc, Group group, long arrived) {
             this.rpc = rpc;
@@ -76,12 +81,7 @@
         }
 
         boolean at(Node node) {
-            for (CallOut c : rpc.callOuts) {
-                if (c.member == node.member) {
-                    return true;
-                }
-            }
-            return false;
+            return rpc.callOuts.stream().anyMatch(c -> c.member == node.member);
         }
     }
 
@@ -89,8 +89,8 @@
         final int number;
         final List<Node> nodes = new ArrayList<>();
         final ArrayDeque<Job> held = new ArrayDeque<>();
-        Node primary;
-        boolean news;
+        Node primary; // the last known one
+        boolean news; // held RPCs are worth another look
 
         Group(int number) {
             this.number = number;
@@ -100,33 +100,36 @@
     /** A member as this gateway sees it. */
     private static final class Node {
         final Member member;
+        final Group group;
+        final int key; // what gateways call it among themselves
+        final int turn; // gateways take turns at probing it: 0 where it is this gateway's own
         final Latency latency;
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
-        Group group;
         boolean open, listedPrimary; // open: listed, and neither draining nor gone
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION;
-        long roleAt = Long.MIN_VALUE, startedAt = Long.MIN_VALUE, probedAt = Long.MIN_VALUE;
+        long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
         int inFlight;
-        double room; // how many call-outs may be in flight
+        double room = ROOM; // how many call-outs may be in flight
         int strikes; // times turned away in a row
-        long restUntil = Long.MIN_VALUE, cutAt = Long.MIN_VALUE;
+        long restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, probing;
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         boolean broke; // while aside: its process went away, so that it comes back cold
         long quietSince, trialWait;
 
-        Node(Member member, long unit, double room) {
-            this.room = room;
+        Node(Member member, Group group, int turn, long unit) {
             this.member = member;
+            this.group = group;
+            this.key = member.id.hashCode();
+            this.turn = turn;
             this.latency = new Latency(unit);
         }
     }
 
     /** Latencies in a few bins, each twice as wide as the one before, halved from time to time. */
     static final class Latency {
-        private static final int BINS = 8;
-        private static final int FULL = 32;
+        private static final int BINS = 8, MOST = 64;
         private final int[] counts = new int[BINS];
         private final long unit;
         private int total;
@@ -142,7 +145,7 @@
             }
             counts[bin] += 2;
             total += 2;
-            if (total >= FULL * 2) {
+            if (total >= MOST) {
                 total = 0;
                 for (int i = 0; i < BINS; i++) {
                     counts[i] /= 2;
@@ -151,9 +154,9 @@
             }
         }
 
-        /** The mean, drawn towards what it starts from while little has been seen. */
-        long mean(long start) {
-            long sum = start;
+        /** The mean, with one sample of what to assume while nothing has been seen. */
+        long mean(long assumed) {
+            long sum = assumed;
             for (int i = 0; i < BINS; i++) {
                 sum += counts[i] * ((unit << i) * 3 / 4);
             }
@@ -161,7 +164,7 @@
         }
 
         /** The upper end of the bin that holds the given share of what was seen. */
-        long below(double share, long absent) {
+        long below(double share, long assumed) {
             int left = (int) Math.ceil(total * share);
             for (int i = 0; i < BINS && total > 0; i++) {
                 left -= counts[i];
@@ -169,31 +172,36 @@
                     return unit << i;
                 }
             }
-            return absent;
+            return assumed;
         }
     }
 
     private record Wake(long at, long order, Job job, Node node, Input input) { }
 
+    private static final long NEVER = Long.MAX_VALUE, LONG_AGO = Long.MIN_VALUE;
     private static final int FURTHER = 2; // the users' standing practice
     private static final int ROOM = 8; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
+    private static final int TOLD = Integer.BYTES + Long.BYTES; // a member's key and its position
 
     private final Effects effects;
     private final Settings.Allowed allowed;
-    private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow;
+    private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow, comeBack;
     private final long brisk; // the shortest soft deadline
     private final boolean probesTell, answersTell, membersCheck, remembered;
     private final double coldShare, coldMultiple;
+    private final int index, gateways;
     private final CRC32 crc = new CRC32();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
     private final List<Node> nodes = new ArrayList<>();
+    private final Map<Integer, Node> byKey = new HashMap<>(); // never walked through
+    private final ByteBuffer told = ByteBuffer.allocate(21 * TOLD); // positions for the other gateways
     private final PriorityQueue<Wake> wakes =
             new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
     private final Latency all;
     private long counter, order, now, windowStart;
-    private long alarmAt = Long.MAX_VALUE;
+    private long alarmAt = NEVER;
     private int oks, lastOks; // answers in this cold window and in the one before
     private boolean started;
 
@@ -202,14 +210,12 @@
         allowed = settings.allowed();
         seed = settings.seed();
         tick = settings.tick();
-        long shortest = Long.MAX_VALUE;
-        long tightest = Long.MAX_VALUE;
-        for (Method m : settings.methods()) {
-            shortest = Math.min(shortest, m.softDeadline());
-            tightest = m.need() == Need.BOUNDED ? Math.min(tightest, m.maxAge()) : tightest;
-        }
-        brisk = shortest == Long.MAX_VALUE ? 1_000_000_000 : shortest;
-        tightest = tightest == Long.MAX_VALUE ? 2_000_000_000 : tightest;
+        index = settings.index();
+        gateways = settings.gateways();
+        long second = 1_000_000_000;
+        brisk = settings.methods().stream().mapToLong(Method::softDeadline).min().orElse(second);
+        long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
+                .mapToLong(Method::maxAge).min().orElse(2 * second);
         probeAge = tightest / 2;
         floor = tightest / 10;
         pad = tightest / 10;
@@ -221,6 +227,7 @@
         coldWindow = Math.max(settings.rules().coldWindow(), tick);
         coldShare = settings.rules().coldShare();
         coldMultiple = settings.rules().coldMultiple();
+        comeBack = allowed.retryAfter() ? Math.min(brisk, allowed.longestRetryAfter()) : 0;
         all = new Latency(brisk / 16);
     }
 
@@ -244,24 +251,23 @@
             Wake wake = wakes.poll();
             if (wake.job != null) {
                 step(wake.job, wake.input);
-            } else if (wake.node != null) {
+            } else if (wake.node == null) {
+                effects.subscribe();
+            } else {
                 wake.node.group.news = true;
                 if (wake.input == Input.WAKE) {
                     tryAgain(wake.node);
                 }
-            } else {
-                effects.subscribe();
             }
         }
-        for (Group group : groups.values()) {
-            if (group.news) {
-                group.news = false;
-                wakeHeld(group);
-            }
+        groups.values().forEach(this::wakeHeld);
+        if (told.position() > 0) {
+            effects.tell(Arrays.copyOf(told.array(), told.position()));
+            told.clear();
         }
         if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now)) {
             alarmAt = wakes.peek().at;
-            effects.wakeIn(Math.max(alarmAt - now, 1));
+            effects.wakeIn(alarmAt - now);
         }
     }
 
@@ -271,25 +277,23 @@
             return;
         }
         if (kind != Listed.ListKind.CHANGES) {
-            nodes.forEach(n -> n.open = false);
+            nodes.forEach(n -> n.open = false); // what a full list leaves out is gone
         }
         for (Listed entry : entries) {
             Node node = (Node) entry.member().state;
             if (node == null) {
-                node = new Node(entry.member(), brisk / 16, ROOM);
-                entry.member().state = node;
+                Member member = entry.member();
+                int turn = allowed.peers() ? Math.floorMod(member.id.hashCode() + index, gateways) : 0;
+                node = new Node(member, groups.computeIfAbsent(entry.group(), Group::new), turn, brisk / 16);
+                member.state = node;
                 nodes.add(node);
-            }
-            if (node.group == null) {
-                node.group = groups.computeIfAbsent(entry.group(), Group::new);
+                byKey.put(node.key, node);
                 node.group.nodes.add(node);
             }
             boolean opened = !node.open && entry.phase() == Listed.Phase.UP;
             node.open = entry.phase() == Listed.Phase.UP;
             node.listedPrimary = entry.primary();
-            if (entry.startedAt() > node.startedAt && entry.startedAt() != 0) {
-                node.startedAt = entry.startedAt();
-            }
+            node.startedAt = Math.max(node.startedAt, entry.startedAt() == 0 ? LONG_AGO : entry.startedAt());
             if (opened && probesTell) {
                 probe(node);
             }
@@ -307,24 +311,23 @@
         }
     }
 
-    @Override public void done(CallOut call, Outcome outcome, long took, boolean ended, long position, Role role,
-            Report report) {
+    @Override public void done(CallOut call, Outcome outcome, long took, boolean ended, long position,
+            Role role, Report report) {
         Node node = (Node) call.member.state;
         Job job = (Job) call.rpc.state;
+        Method method = call.rpc.method;
         node.inFlight--;
         job.out--;
         learn(node, position, role, now);
         learn(node, report.position(), report.role(), report.position());
-        health(node, outcome, took, call.rpc.method);
-        if (outcome == Outcome.OK && remembered && call.rpc.method.need() == Need.WRITE && call.rpc.session != null) {
-            writes.merge(call.rpc.session, position == Report.NO_POSITION ? now : position + 1_000_000, Math::max);
+        health(node, outcome, took);
+        if (remembered && outcome == Outcome.OK && method.need() == Need.WRITE && call.rpc.session != null) {
+            writes.merge(call.rpc.session, now, Math::max); // its commit was no later
         }
         if (!outcome.provesNeverRan) {
             job.mayHaveRunAt = Math.min(job.mayHaveRunAt, call.sentAt);
         }
-        if (outcome == Outcome.MISS) {
-            job.misses++;
-        }
+        job.misses += outcome == Outcome.MISS ? 1 : 0;
         node.group.news = true;
         step(job, ended ? Input.OK : outcome.provesNeverRan ? Input.NEVER_RAN : Input.MAY_HAVE_RUN);
     }
@@ -332,18 +335,30 @@
     @Override public void probed(Member member, Outcome outcome, long took, Report report) {
         Node node = (Node) member.state;
         node.probing = false;
+        if (allowed.peers() && report.position() > node.position && told.remaining() >= TOLD) {
+            told.putInt(node.key).putLong(report.position());
+        }
         learn(node, report.position(), report.role(), report.position());
         node.group.news = true;
-        if (node.aside) {
-            node.mayTry = outcome == Outcome.OK;
-        }
+        node.mayTry = node.aside && outcome == Outcome.OK;
     }
 
     @Override public void clientGone(Rpc rpc) {
         step((Job) rpc.state, Input.LEFT);
     }
 
-    @Override public void heard(int gateway, byte[] message) { } // nothing is told among gateways
+    /** What another gateway's probe found: a position is a lower bound, whoever tells it. */
+    @Override public void heard(int gateway, byte[] message) {
+        for (ByteBuffer in = ByteBuffer.wrap(message); in.remaining() >= TOLD;) {
+            Node node = byKey.get(in.getInt());
+            long position = in.getLong();
+            if (node != null && position <= now) {
+                node.probedAt = Math.max(node.probedAt, now - tick);
+                learn(node, position, Role.UNKNOWN, now);
+                node.group.news = true;
+            }
+        }
+    }
 
     /** Newest evidence counts, by the time at which it was true. */
     private void learn(Node node, long position, Role role, long at) {
@@ -359,24 +374,22 @@
 
     private void choosePrimary(Group group) {
         Node best = null;
-        for (Node n : group.nodes) { // the list is late or of the morning: it counts only where nothing else is known
+        for (Node n : group.nodes) { // the list is late or old: it counts where nothing else is known
             boolean listed = n.listedPrimary && n.role == Role.UNKNOWN && n.open;
             if ((listed || n.role == Role.PRIMARY) && (best == null || n.roleAt > best.roleAt)) {
                 best = n;
             }
         }
-        if (best != group.primary) {
-            if (best != null && group.primary != null) {
-                effects.log("group " + group.number + ": primary is now " + best.member.id);
-            }
-            group.primary = best;
+        if (best != null && group.primary != null && best != group.primary) {
+            effects.log("group " + group.number + ": primary is now " + best.member.id);
         }
+        group.primary = best;
     }
 
     // ---- Conditions and effects of the table ----
 
     private boolean unanswerable(Job job) {
-        return job.group == null || job.rpc.method == null || job.group.nodes.isEmpty();
+        return job.group == null || job.rpc.method == null;
     }
 
     private boolean stillOut(Job job) {
@@ -385,19 +398,17 @@
 
     /** Rule 2, the cap, and the standing practice on further call-outs. */
     private boolean mayGoOn(Job job) {
-        return job.rpc.callOuts.size() < allowed.callOuts() && now < job.rpc.due - tick && job.further < FURTHER
-                && mayRepeat(job);
+        return job.rpc.callOuts.size() < allowed.callOuts() && now < job.rpc.due - tick
+                && job.further < FURTHER && mayRepeat(job);
     }
 
     /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
     private boolean mayRepeat(Job job) {
         long first = job.mayHaveRunAt;
-        if (job.out > 0) {
-            for (CallOut c : job.rpc.callOuts) {
-                first = c.ended ? first : Math.min(first, c.sentAt);
-            }
+        for (CallOut c : job.rpc.callOuts) {
+            first = c.ended ? first : Math.min(first, c.sentAt);
         }
-        return first == Long.MAX_VALUE || switch (job.rpc.method.effect()) {
+        return first == NEVER || switch (job.rpc.method.effect()) {
             case IDEMPOTENT -> true;
             case TOKENED -> now + tick < first + job.rpc.method.window();
             case NON_IDEMPOTENT -> false;
@@ -444,36 +455,32 @@
     }
 
     private void cancelAll(Job job) {
-        for (CallOut c : job.rpc.callOuts) {
-            if (!c.ended && allowed.cancel()) {
-                effects.cancel(c);
-            }
-        }
+        job.rpc.callOuts.stream().filter(c -> !c.ended && allowed.cancel()).forEach(effects::cancel);
     }
 
+    /** Waits for a member: a read for half its soft deadline, others while an answer is worth something. */
     private void hold(Job job) {
         Method m = job.rpc.method;
-        boolean late = m.lateShare() > 0;
-        long end = m.need() == Need.WRITE || m.need() == Need.FRESH
-                ? job.arrived + (late ? m.deadline() : m.softDeadline()) - 2 * tick
-                : job.arrived + m.softDeadline() / 2;
-        if (job.mayHaveRunAt != Long.MAX_VALUE && m.effect() == Effect.TOKENED) {
+        long end = m.need() != Need.WRITE && m.need() != Need.FRESH ? job.arrived + m.softDeadline() / 2
+                : job.arrived + (m.lateShare() > 0 ? m.deadline() : m.softDeadline()) - 2 * tick;
+        if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
-        end = Math.min(end, job.rpc.due - 2 * tick);
         job.group.held.addLast(job);
-        later(end, job, null, Input.EXPIRE);
-        if (probesTell) {
-            job.group.nodes.forEach(this::probe);
+        later(Math.min(end, job.rpc.due - 2 * tick), job, null, Input.EXPIRE);
+        for (Node n : job.group.nodes) {
+            if (probesTell && now - probeAge * (1 + n.turn) / 4 >= n.probedAt) {
+                probe(n);
+            }
         }
     }
 
+    /** The final answer, at once: a pushback where trying again can do no harm, else an abort. */
     private void giveUp(Job job) {
         Method m = job.rpc.method;
-        boolean harmless = job.mayHaveRunAt == Long.MAX_VALUE && job.out == 0 || m.effect() == Effect.IDEMPOTENT
-                || m.effect() == Effect.TOKENED && m.scope() == Method.Scope.ALL;
-        if (harmless) {
-            effects.pushBack(job.rpc, allowed.retryAfter() ? Math.min(brisk, allowed.longestRetryAfter()) : 0);
+        if (job.mayHaveRunAt == NEVER && job.out == 0 || m.effect() == Effect.IDEMPOTENT
+                || m.effect() == Effect.TOKENED && m.scope() == Method.Scope.ALL) {
+            effects.pushBack(job.rpc, comeBack);
         } else {
             effects.abort(job.rpc);
         }
@@ -485,13 +492,14 @@
     }
 
     private void wakeHeld(Group group) {
-        for (int i = Math.min(group.held.size(), SCAN); i > 0; i--) {
+        for (int i = group.news ? Math.min(group.held.size(), SCAN) : 0; i > 0; i--) {
             Job job = group.held.pollFirst();
             step(job, Input.WAKE);
             if (job.state == State.HELD) {
                 group.held.addLast(job);
             }
         }
+        group.news = false;
     }
 
     private void later(long at, Job job, Node node, Input input) {
@@ -502,11 +510,18 @@
 
     private boolean findTarget(Job job) {
         Need need = job.rpc.method.need();
-        job.target = need == Need.WRITE || need == Need.FRESH ? lead(job, need) : replica(job);
+        job.target = need == Need.WRITE || need == Need.FRESH ? lead(job, need) : replica(job, bound(job));
         return job.target != null;
     }
 
-    /** The last known primary; while none is known, writes try members in turn, for one round or half the cap. */
+    /** Where members check for themselves, a read is sent to one that lags rather than given up. */
+    private boolean findUnfit(Job job) {
+        Need need = job.rpc.method.need();
+        job.target = membersCheck && need != Need.WRITE && need != Need.FRESH ? replica(job, NEVER) : null;
+        return job.target != null;
+    }
+
+    /** The last known primary; while none is known, writes try members in turn, one round or half the cap. */
     private Node lead(Job job, Need need) {
         Node primary = job.group.primary;
         if (primary != null) {
@@ -517,49 +532,49 @@
         }
         Node best = null;
         for (Node n : job.group.nodes) {
-            boolean fresh = n.role == Role.REPLICA && now - n.roleAt < allowed.connectTimeout();
-            if (usable(n) && !fresh && !job.at(n) && (best == null || n.roleAt < best.roleAt)) {
+            boolean surely = n.role == Role.REPLICA && now - n.roleAt < allowed.connectTimeout();
+            if (usable(n) && !surely && !job.at(n) && (best == null || n.roleAt < best.roleAt)) {
                 best = n;
             }
         }
         return best;
     }
 
-    private Node replica(Job job) {
-        double sum = 0;
-        boolean anyReplica = false;
-        long bound = bound(job);
-        Node oldest = null;
+    /** One replica whose estimate is under the bound, drawn by weight. */
+    private Node replica(Job job, long bound) {
+        boolean any = bound == NEVER, replicaLeft = false;
+        Node primary = job.group.primary, oldest = null;
         Node[] fit = new Node[job.group.nodes.size()];
         double[] weight = new double[fit.length];
+        double sum = 0;
         int count = 0;
         for (Node n : job.group.nodes) {
-            if (n.aside && n.mayTry && n.open && warmEnough(n) && (bound == Long.MAX_VALUE || estimate(n) < bound)) {
+            if (n.aside && n.mayTry && n.open && warmEnough(n) && (any || estimate(n) < bound)) {
                 return n; // a silent member comes back by being tried a little
             }
-            if (n == job.group.primary || !alive(n)) {
+            if (n == primary || !alive(n)) {
                 continue;
             }
-            anyReplica = true;
-            if (bound != Long.MAX_VALUE && probesTell && now - probeAge >= n.position
-                    && now - probeAge >= n.probedAt) {
+            replicaLeft = true;
+            boolean old = now - probeAge >= n.position;
+            if (!any && probesTell && old && now - probeAge * (4 + n.turn) / 8 >= n.probedAt) {
                 probe(n);
             }
-            if (!usable(n) || bound != Long.MAX_VALUE && estimate(n) >= bound || job.at(n) && job.group.nodes.size() > 2) {
+            if (!usable(n) || !any && estimate(n) >= bound || job.at(n) && fit.length > 2) {
                 continue;
             }
             fit[count] = n;
             weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (double) (n.inFlight + 1));
             sum += weight[count++];
-            if (n.inFlight == 0 && now - probeAge >= n.position && (oldest == null || n.position < oldest.position)) {
+            if (old && n.inFlight == 0 && (oldest == null || n.position < oldest.position)) {
                 oldest = n;
             }
         }
         if (job.rpc.method.need() == Need.ANY && answersTell && !probesTell && oldest != null) {
             return oldest; // no probe can refresh a position here: a read that any member may answer does
         }
-        if (!anyReplica && job.group.primary != null && usable(job.group.primary)) {
-            return job.group.primary; // no replica is left at all: the primary is the only reader
+        if (!replicaLeft && primary != null && usable(primary)) {
+            return primary; // no replica is left at all: the primary is the only reader
         }
         double at = chance() * sum;
         for (int i = 0; i < count; i++) {
@@ -571,7 +586,7 @@
         return null;
     }
 
-    /** The lag that the data may have now; the largest number where any will do. */
+    /** The lag that the data may have now; NEVER where any will do. */
     private long bound(Job job) {
         Method m = job.rpc.method;
         if (m.need() == Need.BOUNDED) {
@@ -579,21 +594,21 @@
         }
         if (m.need() == Need.SESSION && remembered) {
             Long write = job.rpc.session == null ? null : writes.get(job.rpc.session);
-            return write == null ? Long.MAX_VALUE : now - write;
+            return write == null ? NEVER : now - write;
         }
-        return m.need() == Need.SESSION && job.rpc.tokenAge > 0
-                ? now - job.arrived + job.rpc.tokenAge : Long.MAX_VALUE;
+        boolean carried = m.need() == Need.SESSION && job.rpc.tokenAge > 0;
+        return carried ? now - job.arrived + job.rpc.tokenAge : NEVER;
     }
 
-    /** Lag by the clock since the last known position, floored and padded; the window is the newest reading. */
+    /** Lag by the clock since the last known position, floored and padded; the window is one reading. */
     private long estimate(Node node) {
-        return node.position == Report.NO_POSITION ? Long.MAX_VALUE : Math.max(now - node.position, floor) + pad;
+        return node.position == Report.NO_POSITION ? NEVER : Math.max(now - node.position, floor) + pad;
     }
 
     private double chance() {
         crc.reset();
         for (long word : new long[] {seed, counter++}) {
-            for (int i = 0; i < 64; i += 8) {
+            for (int i = 0; i < Long.SIZE; i += Byte.SIZE) {
                 crc.update((int) (word >>> i));
             }
         }
@@ -602,54 +617,61 @@
 
     // ---- Guards ----
 
-    private boolean usable(Node node) {
-        return alive(node) && now >= node.restUntil && node.inFlight < Math.max(1, node.room) && warmEnough(node);
-    }
-
     private static boolean alive(Node node) {
         return node.open && !node.aside;
     }
 
+    private boolean usable(Node node) {
+        return alive(node) && now >= node.restUntil && node.inFlight < node.room && warmEnough(node);
+    }
+
     /**
-     * Rule 4: in every window a cold member gets half of the stated multiple of its share of what a member has been
-     * seen to answer, by this gateway alone; what is sent is no measure, since under overload it exceeds what is done.
+     * Rule 4: in every window a cold member gets half of the stated multiple of its share of what a member is
+     * seen to answer, by this gateway alone; what is sent is no measure: under overload it is more.
      */
     private boolean warmEnough(Node node) {
         while (!node.sends.isEmpty() && node.sends.peekFirst() <= now - coldWindow) {
             node.sends.pollFirst();
         }
-        if (node.startedAt == Long.MIN_VALUE || now - node.startedAt >= coldFor) {
+        if (node.startedAt == LONG_AGO || now - node.startedAt >= coldFor) {
             return true;
         }
-        double grown = Math.max(0, now - node.startedAt) / (double) coldFor;
-        double share = coldShare + (1 - coldShare) * grown;
+        double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
         double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
         return node.sends.size() + 1 <= Math.max(1, coldMultiple * share * typical / 2);
     }
 
     // ---- Health ----
 
+    /** How long a member that has work may say nothing. */
     private long silence() {
         return Math.max(all.below(0.95, brisk), brisk / 4);
     }
 
-    private void health(Node node, Outcome outcome, long took, Method method) {
+    private long usual(Node node) {
+        return node.latency.mean(brisk / 4);
+    }
+
+    private void health(Node node, Outcome outcome, long took) {
         switch (outcome) {
             case OK -> {
                 oks++;
                 node.strikes = 0;
                 node.latency.add(took);
                 all.add(took);
-                if (node.latency.mean(brisk / 4) > brisk * 5 / 8) {
+                if (usual(node) > brisk * 5 / 8) {
                     cut(node, 7);
                 } else {
                     node.room = Math.min(node.room + 1 / node.room, 16 * ROOM);
                 }
+                answers(node);
             }
             case ERROR, FULL -> {
                 cut(node, 4);
                 rest(node);
+                answers(node);
             }
+            case MISS -> answers(node);
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION, RESET -> {
                 node.broke = true;
@@ -657,36 +679,32 @@
             }
             default -> { }
         }
-        if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.FULL || outcome == Outcome.MISS) {
-            node.quietSince = now;
-            if (node.aside) {
-                node.aside = false;
-                node.trialWait = 0;
-                if (node.broke) {
-                    node.startedAt = Math.max(node.startedAt, now);
-                }
-                node.broke = false;
-                effects.log(node.member.id + " answers again");
-            }
-        }
     }
 
     /** Guards against queues: the room at a member shrinks by eighths, once for each usual latency. */
     private void cut(Node node, int eighths) {
-        long usual = node.latency.mean(brisk / 4);
-        if (now - usual >= node.cutAt) {
+        if (now - usual(node) >= node.cutAt) {
             node.cutAt = now;
             node.room = Math.max(1, Math.min(node.room, node.inFlight + 1) * eighths / 8);
         }
     }
 
-    /** Guards against a member that turns work away or fails fast, whose idle look would draw ever more to it. */
+    /** Guards against a member that turns work away or fails fast: looking idle it would draw ever more. */
     private void rest(Node node) {
-        long usual = node.latency.mean(brisk / 4);
-        node.restUntil = now + Math.min(usual << Math.min(node.strikes++, 6), 4 * brisk);
+        node.restUntil = now + Math.min(usual(node) << Math.min(node.strikes++, 6), 4 * brisk);
         later(node.restUntil, null, node, Input.OK);
     }
 
+    private void answers(Node node) {
+        node.quietSince = now;
+        if (node.aside) {
+            node.aside = false;
+            node.startedAt = node.broke ? now : node.startedAt;
+            node.broke = false;
+            effects.log(node.member.id + " answers again");
+        }
+    }
+
     private void putAside(Node node) {
         if (!node.aside) {
             node.aside = true;
@@ -698,16 +716,12 @@
     }
 
     private void tryAgain(Node node) {
-        if (!node.aside || !node.open) {
-            return;
-        }
-        if (allowed.probes()) {
+        if (node.aside && node.open) {
+            node.mayTry |= !allowed.probes();
             probe(node);
-        } else {
-            node.mayTry = true;
+            node.trialWait = Math.min(node.trialWait * 2, 4 * brisk);
+            later(now + node.trialWait, null, node, Input.WAKE);
         }
-        node.trialWait = Math.min(node.trialWait * 2, 4 * brisk);
-        later(now + node.trialWait, null, node, Input.WAKE);
     }
 
     private void probe(Node node) {
--- a/src/main/java/reedquay/sim/Fields.java
+++ b/src/main/java/reedquay/sim/Fields.java
@@ -99,7 +99,8 @@
         int end = text.length();
         if (text.indexOf('e') >= 0 || text.indexOf('E') >= 0 || end > 17
                 || dot >= 0 && end - dot - 1 > digits) {
-            return new BigDecimal(text).movePointRight(digits).setScale(0, RoundingMode.DOWN).longValueExact();
+            BigDecimal exact = new BigDecimal(text).movePointRight(digits);
+            return exact.setScale(0, RoundingMode.DOWN).longValueExact();
         }
         boolean negative = text.charAt(0) == '-';
         long value = 0;
--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -169,7 +169,8 @@
         };
         boolean leads = line.numberOr(0, "1 for the primary") == 1;
         double heft = line.numberOr(1, "a size");
-        return new Listed(member, zone, kind, group, phase, leads, heft, line.millisOr(0, "the time of its start"));
+        long startedAt = line.millisOr(0, "the time of its start");
+        return new Listed(member, zone, kind, group, phase, leads, heft, startedAt);
     }
 
     private Member member(Fields line) {
--- a/src/main/java/reedquay/sim/Pairs.java
+++ b/src/main/java/reedquay/sim/Pairs.java
@@ -32,8 +32,9 @@
             String at = "Grades." + i + ".";
             methods.add(new Method(text(at + "Name", ""), need(i < needs.length ? needs[i] : "fresh"),
                     i < ages.length ? millis(ages[i]) : 0, time(at + "OnTime", 0), time(at + "GiveUp", 0),
-                    number(at + "Worth", 1), number(at + "LateWorth", 0), effect(text(at + "Repeat", "single_shot")),
-                    scope(text(at + "Group", "cell")), time(at + "Window", 0)));
+                    number(at + "Worth", 1), number(at + "LateWorth", 0),
+                    effect(text(at + "Repeat", "single_shot")), scope(text(at + "Group", "cell")),
+                    time(at + "Window", 0)));
         }
         List<Settings.Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < (int) number("Tenants.count", 0); i++) {
@@ -45,8 +46,9 @@
         return new Settings(seed, text("MyZone", ""), (int) number("Index", 0),
                 Math.max(1, (int) number("PeersTotal", 1)), time("Tick", 1), methods, tenants,
                 new Settings.Allowed(flag("Allowed.Probes"), flag("Allowed.Peers"), flag("Allowed.Cancel"),
-                        flag("Allowed.MayDuplicate"), flag("Allowed.RetryAfter"), time("Allowed.MaxRetryAfter", 0),
-                        (int) number("Allowed.SendCap", 1), time("Allowed.ConnectTimeout", 0),
+                        flag("Allowed.MayDuplicate"), flag("Allowed.RetryAfter"),
+                        time("Allowed.MaxRetryAfter", 0), (int) number("Allowed.SendCap", 1),
+                        time("Allowed.ConnectTimeout", 0),
                         text("RegistryMode", "pushed").equals("on_request")),
                 new Settings.Rules(number("Rules.ColdShare", 1), time("Rules.Cold", 0),
                         number("Rules.OverloadFactor", 1), time("Rules.Fall", 0), time("Rules.DrainGrace", 0),
--- a/src/main/java/reedquay/sim/SimHost.java
+++ b/src/main/java/reedquay/sim/SimHost.java
@@ -41,7 +41,7 @@
     /** Serves until the end of input; the exit status. */
     public static int serve(InputStream in, OutputStream out, PrintStream err) throws IOException {
         SimHost host = new SimHost(Router::new);
-        BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        var reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         List<String> batch = new ArrayList<>();
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
             batch.add(line);
@@ -60,7 +60,7 @@
             batch.clear();
         }
         if (!batch.isEmpty()) {
-            err.println("reedquay: expected FLUSH before the end of input after line: " + batch.get(batch.size() - 1));
+            err.println("reedquay: expected FLUSH before the end of input after " + batch.size() + " lines");
             return 1;
         }
         return 0;
@@ -82,6 +82,7 @@
                 i += event(name, line, batch, i);
             }
             for (Gateway gateway : touched) {
+                aboutId = gateway.id;
                 gateway.end(out);
             }
         } catch (Fields.Malformed e) {
@@ -91,8 +92,7 @@
             StringWriter trace = new StringWriter();
             e.printStackTrace(new PrintWriter(trace));
             String text = trace.toString().replace('\n', '|').replaceAll("\\s+", " ");
-            long id = about != null ? aboutId : touched.iterator().next().id;
-            out.append("AS ").append(id).append("\nCRASH ").append(text, 0, Math.min(1500, text.length()));
+            out.append("AS ").append(aboutId).append("\nCRASH ").append(text, 0, Math.min(1500, text.length()));
             out.append('\n');
         }
         return out.append("YIELD\n").toString();
--- /dev/null
+++ b/src/test/java/reedquay/route/Gate.java
@@ -0,0 +1,153 @@
+package reedquay.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import reedquay.core.*;
+import reedquay.core.Method.Effect;
+import reedquay.core.Method.Need;
+import reedquay.core.Method.Scope;
+
+/** A Router under test with its clock, its members and a record of what it did. */
+class Gate implements Effects {
+    static final long MS = 1_000_000;
+    static final Method WRITE = method("write", Need.WRITE, Effect.TOKENED, Scope.GROUP, 0.5);
+    static final Method ONCE = method("once", Need.WRITE, Effect.NON_IDEMPOTENT, Scope.GROUP, 0.5);
+    static final Method FRESH = method("fresh", Need.FRESH, Effect.IDEMPOTENT, Scope.ALL, 0);
+    static final Method BOUNDED = method("bounded", Need.BOUNDED, Effect.IDEMPOTENT, Scope.ALL, 0);
+    static final Method SESSION = method("session", Need.SESSION, Effect.IDEMPOTENT, Scope.ALL, 0);
+    static final Method ANY = method("any", Need.ANY, Effect.IDEMPOTENT, Scope.ALL, 0);
+    static final List<Method> METHODS = List.of(WRITE, ONCE, FRESH, BOUNDED, SESSION, ANY);
+
+    final Settings settings;
+    final Router router;
+    final Map<String, Member> members = new HashMap<>();
+    final List<CallOut> out = new ArrayList<>();
+    final List<CallOut> cancelled = new ArrayList<>();
+    final List<Rpc> pushedBack = new ArrayList<>();
+    final List<Rpc> aborted = new ArrayList<>();
+    final List<Member> probes = new ArrayList<>();
+    final List<String> did = new ArrayList<>();
+    long now = 1000_000 * MS;
+    long alarm = Long.MAX_VALUE;
+    private long lastId;
+
+    Gate(boolean overlap, boolean answersTell, boolean probesTell, boolean peers) {
+        settings = new Settings(7, "here", 0, 2, 5 * MS, METHODS, List.of(),
+                new Settings.Allowed(true, peers, true, overlap, true, 1000 * MS, 6, 250 * MS, false),
+                new Settings.Rules(0.25, 10_000 * MS, 3, 1000 * MS, 500 * MS, 20 * MS, 10_000 * MS),
+                new Settings.Positions(answersTell, false, probesTell, false, false),
+                new Settings.Prices(0.03, 0.08, 0.01, 0.01, 0.08));
+        router = new Router(settings, this);
+    }
+
+    static Gate usual() {
+        Gate gate = new Gate(true, true, true, false);
+        gate.batch(() -> gate.list(Listed.ListKind.REMEMBERED, gate.up("p", true), gate.up("r1", false),
+                gate.up("r2", false)));
+        return gate;
+    }
+
+    private static Method method(String name, Need need, Effect effect, Scope scope, double late) {
+        return new Method(name, need, 300 * MS, 400 * MS, 1500 * MS, 1, late, effect, scope, 1000 * MS);
+    }
+
+    Member member(String id) {
+        return members.computeIfAbsent(id, Member::new);
+    }
+
+    Listed entry(String id, Listed.Phase phase, boolean primary, long startedAt) {
+        return new Listed(member(id), "here", "std", 1, phase, primary, 1, startedAt);
+    }
+
+    Listed up(String id, boolean primary) {
+        return entry(id, Listed.Phase.UP, primary, 0);
+    }
+
+    void list(Listed.ListKind kind, Listed... entries) {
+        router.list(kind, List.of(entries));
+    }
+
+    void batch(Runnable inputs) {
+        router.begin(now);
+        inputs.run();
+        router.end();
+    }
+
+    /** Lets time pass, with the alarms that fall due. */
+    void pass(long millis) {
+        long until = now + millis * MS;
+        while (alarm <= until) {
+            now = Math.max(now, alarm);
+            alarm = Long.MAX_VALUE;
+            batch(() -> { });
+        }
+        now = until;
+    }
+
+    Rpc arrive(Method method, long tokenAge) {
+        Rpc rpc = new Rpc(++lastId, 1, "s", now + 1500 * MS, false, tokenAge, null, method);
+        batch(() -> router.arrived(rpc));
+        return rpc;
+    }
+
+    CallOut last(Rpc rpc) {
+        return rpc.callOuts.get(rpc.callOuts.size() - 1);
+    }
+
+    void answer(CallOut call, Outcome outcome, long position, Role role) {
+        batch(() -> finish(call, outcome, position, role));
+    }
+
+    void finish(CallOut call, Outcome outcome, long position, Role role) {
+        call.ended = true;
+        call.rpc.ended |= outcome == Outcome.OK;
+        out.remove(call);
+        router.done(call, outcome, now - call.sentAt, call.rpc.ended, position, role, Report.NONE);
+    }
+
+    void tellPosition(String id, long age) {
+        batch(() -> router.probed(member(id), Outcome.OK, MS,
+                new Report(now - age * MS, Role.REPLICA, -1, -1, -1)));
+    }
+
+    @Override public void callOut(CallOut call, long limit) {
+        out.add(call);
+        did.add(now + " call out " + call.rpc.id + " " + call.member.id);
+    }
+
+    @Override public void cancel(CallOut call) {
+        cancelled.add(call);
+        did.add(now + " cancel " + call.rpc.id);
+    }
+
+    @Override public void pushBack(Rpc rpc, long after) {
+        rpc.ended = true;
+        pushedBack.add(rpc);
+        did.add(now + " push back " + rpc.id);
+    }
+
+    @Override public void abort(Rpc rpc) {
+        rpc.ended = true;
+        aborted.add(rpc);
+        did.add(now + " abort " + rpc.id);
+    }
+
+    @Override public void probe(Member member) {
+        probes.add(member);
+        did.add(now + " probe " + member.id);
+    }
+
+    @Override public void wakeIn(long delay) {
+        alarm = Math.min(alarm, now + delay);
+    }
+
+    @Override public void tell(byte[] message) {
+        did.add(now + " tell " + message.length);
+    }
+
+    @Override public void subscribe() { }
+
+    @Override public void log(String line) { }
+}
--- /dev/null
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -0,0 +1,148 @@
+package reedquay.route;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static reedquay.route.Gate.*;
+
+import java.nio.ByteBuffer;
+import org.junit.jupiter.api.Test;
+import reedquay.core.*;
+
+class RouterTest {
+    private final Gate gate = Gate.usual();
+
+    @Test void boundedReadTakesTheReplicaUnderItsBound() {
+        gate.tellPosition("r1", 500);
+        gate.tellPosition("r2", 20);
+        for (int i = 0; i < 5; i++) {
+            assertEquals("r2", gate.last(gate.arrive(BOUNDED, 0)).member.id);
+        }
+    }
+
+    @Test void readIsHeldAndGoesOnceAProbeShowsAFitReplica() {
+        gate.tellPosition("r1", 500);
+        gate.tellPosition("r2", 600);
+        Rpc rpc = gate.arrive(BOUNDED, 0);
+        assertTrue(rpc.callOuts.isEmpty());
+        gate.tellPosition("r1", 10);
+        assertEquals("r1", gate.last(rpc).member.id);
+    }
+
+    @Test void readIsPushedBackWhenNoReplicaBecomesFitAndThePrimaryIsNotTheWayOut() {
+        gate.tellPosition("r1", 5000);
+        gate.tellPosition("r2", 5000);
+        Rpc rpc = gate.arrive(BOUNDED, 0);
+        gate.pass(300);
+        assertTrue(gate.pushedBack.contains(rpc) && rpc.callOuts.isEmpty());
+    }
+
+    @Test void primaryReadsWhereNoReplicaIsLeft() {
+        gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.up("p", true)));
+        assertEquals("p", gate.last(gate.arrive(ANY, 0)).member.id);
+    }
+
+    @Test void sessionReadNeedsItsWrite() {
+        gate.tellPosition("r1", 100);
+        gate.tellPosition("r2", 900);
+        assertEquals("r1", gate.last(gate.arrive(SESSION, 700 * MS)).member.id);
+        assertTrue(gate.arrive(SESSION, 50 * MS).callOuts.isEmpty());
+    }
+
+    @Test void writeFollowsThePrimaryThatAnswersShow() {
+        Rpc write = gate.arrive(WRITE, 0);
+        assertEquals("p", gate.last(write).member.id);
+        gate.answer(gate.last(write), Outcome.MISS, gate.now - 10 * MS, Role.REPLICA);
+        CallOut second = gate.last(write);
+        assertNotEquals("p", second.member.id);
+        gate.answer(second, Outcome.OK, gate.now, Role.PRIMARY);
+        assertEquals(second.member, gate.last(gate.arrive(WRITE, 0)).member);
+    }
+
+    @Test void writeWaitsAfterARoundOfMissesAndGoesToTheNewPrimary() {
+        Rpc write = gate.arrive(WRITE, 0);
+        while (!gate.out.isEmpty()) {
+            gate.answer(gate.out.get(0), Outcome.MISS, gate.now - 10 * MS, Role.REPLICA);
+        }
+        assertEquals(3, write.callOuts.size());
+        gate.pass(300);
+        Rpc read = gate.arrive(ANY, 0);
+        gate.answer(gate.last(read), Outcome.OK, gate.now, Role.PRIMARY);
+        assertEquals(gate.last(read).member, gate.last(write).member);
+    }
+
+    @Test void nonIdempotentIsAbortedWhenItMayHaveRun() {
+        Rpc rpc = gate.arrive(ONCE, 0);
+        gate.answer(gate.last(rpc), Outcome.RESET, Report.NO_POSITION, Role.UNKNOWN);
+        assertEquals(1, rpc.callOuts.size());
+        assertTrue(gate.aborted.contains(rpc));
+    }
+
+    @Test void tokenedIsAbortedWhenItsWindowEnds() {
+        Rpc rpc = gate.arrive(WRITE, 0);
+        gate.answer(gate.last(rpc), Outcome.RESET, Report.NO_POSITION, Role.UNKNOWN);
+        gate.pass(990);
+        assertFalse(rpc.ended);
+        gate.pass(10);
+        assertTrue(gate.aborted.contains(rpc));
+    }
+
+    @Test void silentMemberIsPutAsideAndItsReadGoesElsewhere() {
+        Rpc rpc = gate.arrive(ANY, 0);
+        gate.pass(600);
+        assertEquals(2, rpc.callOuts.stream().map(c -> c.member).distinct().count());
+    }
+
+    @Test void withoutOverlapASilentCallOutIsCancelledBeforeTheNext() {
+        Gate alone = new Gate(false, true, true, false);
+        alone.batch(() -> alone.list(Listed.ListKind.FULL, alone.up("r1", false), alone.up("r2", false)));
+        Rpc rpc = alone.arrive(ANY, 0);
+        alone.pass(1000);
+        assertEquals(1, rpc.callOuts.size());
+        assertEquals(1, alone.cancelled.stream().distinct().count());
+        alone.answer(rpc.callOuts.get(0), Outcome.CANCELLED, Report.NO_POSITION, Role.UNKNOWN);
+        assertEquals(2, rpc.callOuts.size());
+    }
+
+    /** A member that turns work away at once must not draw the traffic of the others. */
+    @Test void memberThatTurnsWorkAwayRests() {
+        Rpc first = gate.arrive(ANY, 0);
+        Member full = gate.last(first).member;
+        gate.answer(gate.last(first), Outcome.FULL, Report.NO_POSITION, Role.UNKNOWN);
+        for (int i = 0; i < 6; i++) {
+            assertNotEquals(full, gate.last(gate.arrive(ANY, 0)).member);
+        }
+    }
+
+    /** Cold members fell over when their budget followed what was sent in a storm. */
+    @Test void coldMemberGetsFewInAWindow() {
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
+                gate.entry("r1", Listed.Phase.UP, false, gate.now), gate.entry("r2", Listed.Phase.GONE, false, 0)));
+        for (int i = 0; i < 20; i++) {
+            gate.arrive(ANY, 0);
+        }
+        assertEquals(1, gate.out.stream().filter(c -> c.member.id.equals("r1")).count());
+    }
+
+    @Test void drainingMemberGetsNothingNew() {
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.DRAINING, false, 0)));
+        for (int i = 0; i < 8; i++) {
+            assertEquals("r2", gate.last(gate.arrive(ANY, 0)).member.id);
+        }
+    }
+
+    @Test void positionsToldByOtherGatewaysCountAndNonsenseDoesNot() {
+        Gate gate = new Gate(false, false, true, true);
+        gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.up("p", true), gate.up("r1", false)));
+        ByteBuffer message = ByteBuffer.allocate(29).putInt("r1".hashCode()).putLong(gate.now - 10 * MS);
+        message.putInt("p".hashCode()).putLong(gate.now + 1);
+        gate.batch(() -> gate.router.heard(1, message.array()));
+        assertEquals("r1", gate.last(gate.arrive(BOUNDED, 0)).member.id);
+    }
+
+    @Test void rpcOfAnUnknownGroupOrMethodIsPushedBack() {
+        Rpc stray = new Rpc(99, 42, null, gate.now + MS, false, 0, null, ANY);
+        Rpc unknown = new Rpc(98, 1, null, gate.now + MS, false, 0, null, null);
+        gate.batch(() -> gate.router.arrived(stray));
+        gate.batch(() -> gate.router.arrived(unknown));
+        assertEquals(2, gate.pushedBack.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/reedquay/route/RulesTest.java
@@ -0,0 +1,217 @@
+package reedquay.route;
+
+import static org.junit.jupiter.api.Assertions.*;
+import static reedquay.route.Gate.*;
+
+import java.util.*;
+import org.junit.jupiter.api.Test;
+import reedquay.core.*;
+import reedquay.core.Method.Effect;
+import reedquay.core.Method.Need;
+import reedquay.core.Method.Scope;
+
+/** The five rules as a slow plain model, beside a Router on generated inputs. */
+class RulesTest {
+    /** A world that answers as it likes, and holds every action of the Router against the rules. */
+    private static final class World extends Gate {
+        final SplittableRandom random;
+        final List<String> ids = List.of("a", "b", "c", "d", "e");
+        final Map<Member, Long> truth = new HashMap<>(); // true position
+        final Map<Member, Long> closed = new HashMap<>(); // told to be draining or gone
+        final Map<Member, Long> started = new HashMap<>(); // told start of a cold member
+        final Set<Member> excused = new HashSet<>(); // has been primary, not yet told otherwise
+        final Map<Rpc, Long> taken = new LinkedHashMap<>();
+        final Map<CallOut, Outcome> outcomes = new HashMap<>();
+        final List<Long> answers = new ArrayList<>();
+        final List<CallOut> sent = new ArrayList<>();
+        String primary = "a";
+
+        World(long seed, boolean overlap) {
+            super(overlap, true, true, false);
+            random = new SplittableRandom(seed);
+            ids.forEach(id -> truth.put(member(id), now));
+            excused.add(member("a"));
+            batch(() -> list(Listed.ListKind.REMEMBERED,
+                    ids.stream().map(id -> up(id, id.equals("a"))).toArray(Listed[]::new)));
+        }
+
+        void run(int steps) {
+            for (int i = 0; i < steps; i++) {
+                pass(random.nextInt(30));
+                move();
+                batch(this::events);
+                taken.forEach((rpc, at) -> assertTrue(rpc.ended || now <= rpc.due + 20 * MS, "rule 1: no answer"));
+            }
+            pass(2000);
+            taken.keySet().forEach(rpc -> assertTrue(rpc.ended, "rule 1: lost"));
+        }
+
+        private void move() {
+            for (String id : ids) {
+                if (random.nextInt(4) > 0) {
+                    truth.merge(member(id), now - random.nextInt(400) * MS, Math::max);
+                }
+            }
+            truth.put(member(primary), now);
+        }
+
+        private void events() {
+            if (random.nextInt(60) == 0) {
+                primary = ids.get(random.nextInt(ids.size()));
+                truth.put(member(primary), now);
+            }
+            for (Method m : METHODS) {
+                if (random.nextInt(3) == 0) {
+                    long due = now + (50 + random.nextInt(1500)) * MS;
+                    Rpc rpc = new Rpc(taken.size(), 1, "s", due, false, random.nextInt(600) * MS, null, m);
+                    taken.put(rpc, now);
+                    router.arrived(rpc);
+                }
+            }
+            for (CallOut call : List.copyOf(out)) {
+                if (random.nextInt(5) == 0 || now >= call.rpc.due) {
+                    end(call);
+                }
+            }
+            for (Member m : List.copyOf(probes)) {
+                probes.remove(m);
+                Role role = m.id.equals(primary) ? Role.PRIMARY : Role.REPLICA;
+                boolean well = random.nextInt(4) > 0;
+                router.probed(m, well ? Outcome.OK : Outcome.TIMED_OUT, MS,
+                        well ? new Report(truth.get(m), role, -1, -1, -1) : Report.NONE);
+                if (well && role == Role.PRIMARY) {
+                    excused.add(m);
+                }
+            }
+            if (random.nextInt(25) == 0) {
+                relist(ids.get(random.nextInt(ids.size())));
+            }
+            if (random.nextInt(20) == 0 && !taken.isEmpty()) {
+                Rpc rpc = List.copyOf(taken.keySet()).get(random.nextInt(taken.size()));
+                if (!rpc.ended || random.nextInt(3) == 0) {
+                    rpc.ended = true;
+                    router.clientGone(rpc);
+                }
+            }
+        }
+
+        private void relist(String id) {
+            Member m = member(id);
+            int what = random.nextInt(4);
+            if (what == 0) {
+                closed.put(m, now);
+                list(Listed.ListKind.CHANGES, entry(id, Listed.Phase.DRAINING, false, 0));
+            } else {
+                closed.remove(m);
+                long start = what == 1 ? now - random.nextInt(3000) * MS : 0;
+                if (start != 0) {
+                    started.merge(m, start, Math::max);
+                }
+                list(Listed.ListKind.CHANGES, entry(id, Listed.Phase.UP, false, start));
+            }
+        }
+
+        private void end(CallOut call) {
+            boolean leads = call.member.id.equals(primary);
+            Outcome[] can = call.rpc.method.need() == Need.WRITE && !leads
+                    ? new Outcome[] {Outcome.MISS, Outcome.RESET, Outcome.NO_CONNECTION}
+                    : Outcome.values();
+            Outcome outcome = now >= call.rpc.due ? Outcome.TIMED_OUT
+                    : random.nextInt(12) > 0 && (leads || can.length > 3) ? Outcome.OK : can[random.nextInt(can.length)];
+            outcomes.put(call, outcome);
+            boolean tells = outcome == Outcome.OK || outcome == Outcome.MISS;
+            if (tells && !leads) {
+                excused.remove(call.member);
+            } else if (tells) {
+                excused.add(call.member);
+            }
+            if (outcome == Outcome.OK) {
+                answers.add(now);
+            }
+            finish(call, outcome, tells ? truth.get(call.member) : Report.NO_POSITION,
+                    !tells ? Role.UNKNOWN : leads ? Role.PRIMARY : Role.REPLICA);
+        }
+
+        private boolean mayHaveRun(CallOut call) {
+            return !outcomes.containsKey(call) || !outcomes.get(call).provesNeverRan;
+        }
+
+        @Override public void callOut(CallOut call, long limit) {
+            Rpc rpc = call.rpc;
+            List<CallOut> earlier = rpc.callOuts.subList(0, rpc.callOuts.size() - 1);
+            assertFalse(rpc.ended, "rule 1: sent after the end");
+            assertTrue(settings.allowed().overlap() || earlier.stream().allMatch(outcomes::containsKey), "overlap");
+            OptionalLong ran = earlier.stream().filter(this::mayHaveRun).mapToLong(c -> c.sentAt).min();
+            if (ran.isPresent()) {
+                Effect effect = rpc.method.effect();
+                assertNotEquals(Effect.NON_IDEMPOTENT, effect, "rule 2: twice");
+                assertTrue(effect != Effect.TOKENED || now < ran.getAsLong() + rpc.method.window(), "rule 2: window");
+            }
+            assertTrue(rpc.callOuts.size() <= settings.allowed().callOuts(), "more than the cap");
+            assertTrue(now < closed.getOrDefault(call.member, Long.MAX_VALUE - 500 * MS) + 500 * MS, "rule 3");
+            long need = switch (rpc.method.need()) {
+                case WRITE, ANY -> Long.MIN_VALUE;
+                case FRESH -> taken.get(rpc);
+                case SESSION -> rpc.tokenAge == 0 ? Long.MIN_VALUE : taken.get(rpc) - rpc.tokenAge;
+                case BOUNDED -> now - rpc.method.maxAge();
+            };
+            assertTrue(excused.contains(call.member) || truth.get(call.member) >= need, "rule 5: stale");
+            sent.add(call);
+            cold(call.member);
+            super.callOut(call, limit);
+        }
+
+        /** Rule 4: never the multiple of the share of the most that a member is known to do. */
+        private void cold(Member m) {
+            long age = now - started.getOrDefault(m, Long.MIN_VALUE / 2);
+            if (age >= 10_000 * MS) {
+                return;
+            }
+            long most = 0;
+            for (long from : answers) {
+                most = Math.max(most, answers.stream().filter(a -> a >= from && a <= from + 1000 * MS).count());
+            }
+            long burst = sent.stream().filter(c -> c.member == m && c.sentAt > now - 1000 * MS).count();
+            assertTrue(burst <= Math.max(1, 3 * (0.25 + 0.75 * age / (10_000.0 * MS)) * most / ids.size()), "rule 4");
+        }
+
+        @Override public void pushBack(Rpc rpc, long after) {
+            assertFalse(rpc.ended, "rule 1: two answers");
+            assertTrue(harmless(rpc), "rule 2: pushed back");
+            super.pushBack(rpc, after);
+        }
+
+        @Override public void abort(Rpc rpc) {
+            assertFalse(rpc.ended, "rule 1: two answers");
+            assertFalse(harmless(rpc), "a pushback was allowed");
+            super.abort(rpc);
+        }
+
+        private boolean harmless(Rpc rpc) {
+            return rpc.method.effect() == Effect.IDEMPOTENT || rpc.method.scope() == Scope.ALL
+                    || rpc.callOuts.stream().noneMatch(this::mayHaveRun);
+        }
+    }
+
+    @Test void rulesHoldOnGeneratedInputs() {
+        int sent = 0;
+        int aborted = 0;
+        int pushedBack = 0;
+        for (int seed = 0; seed < 30; seed++) {
+            World world = new World(seed, seed % 2 == 0);
+            world.run(600);
+            sent += world.sent.size();
+            aborted += world.aborted.size();
+            pushedBack += world.pushedBack.size();
+        }
+        assertTrue(sent > 6000 && aborted > 100 && pushedBack > 2000, sent + " " + aborted + " " + pushedBack);
+    }
+
+    @Test void sameEventsGiveSameActions() {
+        World one = new World(5, true);
+        World two = new World(5, true);
+        one.run(300);
+        two.run(300);
+        assertEquals(one.did, two.did);
+    }
+}
