Floor and pad of two ticks each

Cause: a known position is a lower bound, so 30 ms of floor and 30 ms of pad turn reads away from replicas that would do.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -217,8 +217,8 @@
         long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
         probeAge = tightest / 2;
-        floor = tightest / 10;
-        pad = tightest / 10;
+        floor = 2 * tick;
+        pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
         answersTell = settings.positions().inAnswers() || settings.positions().inAnswerReports();
         membersCheck = settings.positions().membersCheck();
