--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -104,6 +104,7 @@
         final int key; // what gateways call it among themselves
         final int turn; // gateways take turns at probing it: 0 where it is this gateway's own
         final Latency latency;
+        final Latency strain; // latencies, each as if its soft deadline were the shortest
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
         boolean open, listedPrimary; // open: listed, and neither draining nor gone
         Role role = Role.UNKNOWN;
@@ -124,6 +125,7 @@
             this.key = member.id.hashCode();
             this.turn = turn;
             this.latency = new Latency(unit);
+            this.strain = new Latency(unit);
         }
     }
 
@@ -320,7 +322,7 @@
         job.out--;
         learn(node, position, role, now);
         learn(node, report.position(), report.role(), report.position());
-        health(node, outcome, took);
+        health(node, outcome, took, method);
         if (remembered && outcome == Outcome.OK && method.need() == Need.WRITE && call.rpc.session != null) {
             writes.merge(call.rpc.session, now, Math::max); // its commit was no later
         }
@@ -652,14 +654,15 @@
         return node.latency.mean(brisk / 4);
     }
 
-    private void health(Node node, Outcome outcome, long took) {
+    private void health(Node node, Outcome outcome, long took, Method method) {
         switch (outcome) {
             case OK -> {
                 oks++;
                 node.strikes = 0;
                 node.latency.add(took);
                 all.add(took);
-                if (usual(node) > brisk * 5 / 8) {
+                node.strain.add((long) ((double) took * brisk / method.softDeadline()));
+                if (node.strain.mean(brisk / 4) > brisk * 3 / 8) {
                     cut(node, 7);
                 } else {
                     node.room = Math.min(node.room + 1 / node.room, 16 * ROOM);
