--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -662,7 +662,7 @@
                 node.latency.add(took);
                 all.add(took);
                 node.strain.add((long) ((double) took * brisk / method.softDeadline()));
-                if (node.strain.mean(brisk / 4) > brisk * 3 / 8) {
+                if (node.strain.mean(brisk / 4) > brisk * 5 / 16) {
                     cut(node, 7);
                 } else {
                     node.room = Math.min(node.room + 1 / node.room, 16 * ROOM);
