A reset makes a member rest; it no longer counts as dead and then as cold

Cause: each reset put the member aside and let it start cold again. Told from a process that died by the lack of failed connects and of a new start in the list. It should also catch a faulty link. Harm: a process that dies with a reset is tried once more before its refused connection puts it aside.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -116,7 +116,6 @@
         long restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, probing;
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
-        boolean broke; // while aside: its process went away, so that it comes back cold
         long quietSince, trialWait;
 
         Node(Member member, Group group, int turn, long unit) {
@@ -669,17 +668,14 @@
                 }
                 answers(node);
             }
-            case ERROR, FULL -> {
+            case ERROR, FULL, RESET -> { // a reset alone is no proof that the process died
                 cut(node, 4);
                 rest(node);
                 answers(node);
             }
             case MISS -> answers(node);
             case TIMED_OUT -> node.latency.add(took);
-            case NO_CONNECTION, RESET -> {
-                node.broke = true;
-                putAside(node);
-            }
+            case NO_CONNECTION -> putAside(node);
             default -> { }
         }
     }
@@ -702,8 +698,7 @@
         node.quietSince = now;
         if (node.aside) {
             node.aside = false;
-            node.startedAt = node.broke ? now : node.startedAt;
-            node.broke = false;
+            node.room = Math.min(node.room, 2); // it may be back cold before the list says so
             effects.log(node.member.id + " answers again");
         }
     }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -76,15 +76,34 @@
         assertTrue(gate.aborted.contains(rpc));
     }
 
-    @Test void tokenedIsAbortedWhenItsWindowEnds() {
+    @Test void tokenedIsSentAgainWithinItsWindowOnlyAndThenAborted() {
         Rpc rpc = gate.arrive(WRITE, 0);
         gate.answer(gate.last(rpc), Outcome.RESET, Report.NO_POSITION, Role.UNKNOWN);
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("p", Listed.Phase.DRAINING, true, 0)));
+        while (!gate.out.isEmpty()) {
+            gate.answer(gate.out.get(0), Outcome.MISS, Report.NO_POSITION, Role.REPLICA);
+        }
         gate.pass(990);
         assertFalse(rpc.ended);
         gate.pass(10);
         assertTrue(gate.aborted.contains(rpc));
     }
 
+    /** Resets from a member that lived on made it count as dead and then as cold, again and again. */
+    @Test void memberThatResetsComesBackAtItsFullShare() {
+        Rpc first = gate.arrive(ANY, 0);
+        Member member = gate.last(first).member;
+        gate.answer(gate.last(first), Outcome.RESET, Report.NO_POSITION, Role.UNKNOWN);
+        gate.pass(1000);
+        int back = 0;
+        for (int i = 0; i < 20; i++) {
+            CallOut call = gate.last(gate.arrive(ANY, 0));
+            back += call.member == member ? 1 : 0;
+            gate.answer(call, Outcome.OK, gate.now, Role.REPLICA);
+        }
+        assertTrue(back > 5);
+    }
+
     @Test void silentMemberIsPutAsideAndItsReadGoesElsewhere() {
         Rpc rpc = gate.arrive(ANY, 0);
         gate.pass(600);
