Room at a member starts at four and grows only while it is used

Cause: room that was never used had grown without end, so a burst queued and the replicas' apply thread fell behind. Harm: after a quiet spell a burst finds little room at first.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -181,7 +181,7 @@
 
     private static final long NEVER = Long.MAX_VALUE, LONG_AGO = Long.MIN_VALUE;
     private static final int FURTHER = 2; // the users' standing practice
-    private static final int ROOM = 8; // call-outs in flight at a member before anything is known of it
+    private static final int ROOM = 4; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
     private static final int TOLD = Integer.BYTES + Long.BYTES; // a member's key and its position
 
@@ -663,8 +663,8 @@
                 node.strain.add((long) ((double) took * brisk / method.softDeadline()));
                 if (node.strain.mean(brisk / 4) > brisk * 5 / 16) {
                     cut(node, 7);
-                } else {
-                    node.room = Math.min(node.room + 1 / node.room, 16 * ROOM);
+                } else if (node.inFlight + 1 >= node.room) {
+                    node.room += 1 / node.room; // room that is not used is not known to be there
                 }
                 answers(node);
             }
