--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -181,7 +181,7 @@
 
     private static final long NEVER = Long.MAX_VALUE, LONG_AGO = Long.MIN_VALUE;
     private static final int FURTHER = 2; // the users' standing practice
-    private static final int ROOM = 4; // call-outs in flight at a member before anything is known of it
+    private static final int ROOM = 2; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
     private static final int TOLD = Integer.BYTES + Long.BYTES; // a member's key and its position
 
@@ -698,7 +698,7 @@
         node.quietSince = now;
         if (node.aside) {
             node.aside = false;
-            node.room = Math.min(node.room, 2); // it may be back cold before the list says so
+            node.room = Math.min(node.room, ROOM); // it may be back cold before the list says so
             effects.log(node.member.id + " answers again");
         }
     }
