While others wait, a client's retry of a read gives way at once

Cause: two thirds of what was given up were retries, and those that were served came after their soft deadline; they took the room that first tries needed. Harm: where clients retry at once after a short hold, a retry that could still be in time is pushed back; without marked retries it does nothing.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -29,6 +29,7 @@
     /** The life of an RPC: the first row whose state, input and condition hold is taken. */
     private static final Row[] TABLE = {
         new Row(State.NEW, Input.ARRIVE, Router::unanswerable, State.ENDED, Router::giveUp),
+        new Row(State.NEW, Input.ARRIVE, Router::givesWay, State.ENDED, Router::giveUp),
         new Row(State.NEW, Input.ARRIVE, Router::findTarget, State.OUT, Router::send),
         new Row(State.NEW, Input.ARRIVE, ALWAYS, State.HELD, Router::hold),
         new Row(State.HELD, Input.WAKE, Router::findTarget, State.OUT, Router::send),
@@ -55,6 +56,9 @@
     private void step(Job job, Input input) {
         for (Row row : TABLE) {
             if (row.state == job.state && row.input == input && row.when.test(this, job)) {
+                if (job.group != null) {
+                    job.group.waiting += (row.next == State.HELD ? 1 : 0) - (job.state == State.HELD ? 1 : 0);
+                }
                 job.state = row.next;
                 row.effect.accept(this, job);
                 return;
@@ -90,6 +94,7 @@
         final List<Node> nodes = new ArrayList<>();
         final ArrayDeque<Job> held = new ArrayDeque<>();
         Node primary; // the last known one
+        int waiting; // held RPCs; the queue may still hold some that have ended
         boolean news; // held RPCs are worth another look
 
         Group(int number) {
@@ -393,6 +398,11 @@
         return job.group == null || job.rpc.method == null;
     }
 
+    /** While others wait, a client's retry of a read gives way: its soft deadline is all but gone. */
+    private boolean givesWay(Job job) {
+        return job.rpc.retry && job.group.waiting > 0 && job.rpc.method.need() != Need.WRITE;
+    }
+
     private boolean stillOut(Job job) {
         return job.out > 0;
     }
--- a/src/test/java/reedquay/route/Gate.java
+++ b/src/test/java/reedquay/route/Gate.java
@@ -87,7 +87,11 @@
     }
 
     Rpc arrive(Method method, long tokenAge) {
-        Rpc rpc = new Rpc(++lastId, 1, "s", now + 1500 * MS, false, tokenAge, null, method);
+        return arrive(method, tokenAge, false, null);
+    }
+
+    Rpc arrive(Method method, long tokenAge, boolean retry, String tenant) {
+        Rpc rpc = new Rpc(++lastId, 1, "s", now + 1500 * MS, retry, tokenAge, tenant, method);
         batch(() -> router.arrived(rpc));
         return rpc;
     }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -130,6 +130,17 @@
         }
     }
 
+    /** Retries whose soft deadline had passed took the room that first tries needed. */
+    @Test void retriesOfReadsGiveWayWhileOthersWait() {
+        gate.tellPosition("r1", 500);
+        gate.tellPosition("r2", 500);
+        Rpc first = gate.arrive(BOUNDED, 0);
+        assertTrue(gate.arrive(ANY, 0, true, null).ended);
+        gate.tellPosition("r1", 10);
+        assertFalse(first.callOuts.isEmpty());
+        assertFalse(gate.arrive(ANY, 0, true, null).ended);
+    }
+
     /** Cold members fell over when their budget followed what was sent in a storm. */
     @Test void coldMemberGetsFewInAWindow() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
