Reads over their tenant's share give way too while others wait

Cause: what a tenant sends beyond its share is worth little, and took room all the same. Folded with the giving way of retries into one condition. Harm: a gateway that gets more than its part of a tenant's traffic counts too much as over.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -24,11 +24,13 @@
             BiConsumer<Router, Job> effect) { }
 
     private static final BiPredicate<Router, Job> ALWAYS = (r, j) -> true;
+    private static final BiPredicate<Router, Job> UNKNOWN = (r, j) -> j.group == null || j.rpc.method == null;
+    private static final BiPredicate<Router, Job> STILL_OUT = (r, j) -> j.out > 0;
     private static final BiConsumer<Router, Job> NOTHING = (r, j) -> { };
 
     /** The life of an RPC: the first row whose state, input and condition hold is taken. */
     private static final Row[] TABLE = {
-        new Row(State.NEW, Input.ARRIVE, Router::unanswerable, State.ENDED, Router::giveUp),
+        new Row(State.NEW, Input.ARRIVE, UNKNOWN, State.ENDED, Router::giveUp),
         new Row(State.NEW, Input.ARRIVE, Router::givesWay, State.ENDED, Router::giveUp),
         new Row(State.NEW, Input.ARRIVE, Router::findTarget, State.OUT, Router::send),
         new Row(State.NEW, Input.ARRIVE, ALWAYS, State.HELD, Router::hold),
@@ -37,19 +39,18 @@
         new Row(State.HELD, Input.EXPIRE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
-        new Row(State.OUT, Input.SLOW, Router::copyMayGo, State.OUT, Router::send),
-        new Row(State.OUT, Input.SLOW, Router::moveMayGo, State.OUT, Router::cancelAll),
+        new Row(State.OUT, Input.SLOW, Router::silentAndMayMove, State.OUT, Router::move),
         new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
         new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
-        new Row(State.OUT, Input.NEVER_RAN, Router::stillOut, State.OUT, NOTHING),
+        new Row(State.OUT, Input.NEVER_RAN, STILL_OUT, State.OUT, NOTHING),
         new Row(State.OUT, Input.NEVER_RAN, Router::nextMayGo, State.OUT, Router::send),
         new Row(State.OUT, Input.NEVER_RAN, Router::mayGoOn, State.HELD, Router::hold),
         new Row(State.OUT, Input.NEVER_RAN, ALWAYS, State.ENDED, Router::giveUp),
-        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::stillOut, State.OUT, NOTHING),
+        new Row(State.OUT, Input.MAY_HAVE_RUN, STILL_OUT, State.OUT, NOTHING),
         new Row(State.OUT, Input.MAY_HAVE_RUN, Router::nextMayGo, State.OUT, Router::send),
         new Row(State.OUT, Input.MAY_HAVE_RUN, Router::mayGoOn, State.HELD, Router::hold),
         new Row(State.OUT, Input.MAY_HAVE_RUN, ALWAYS, State.ENDED, Router::giveUp),
-        new Row(State.OUT, Input.DUE, ALWAYS, State.ENDED, Router::giveUpAndCancel),
+        new Row(State.OUT, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.OUT, Input.LEFT, ALWAYS, State.ENDED, Router::cancelAll),
     };
 
@@ -182,6 +183,12 @@
         }
     }
 
+    /** What a tenant may still send at its full worth. */
+    private static final class Share {
+        double perSecond, left;
+        long at;
+    }
+
     private record Wake(long at, long order, Job job, Node node, Input input) { }
 
     private static final long NEVER = Long.MAX_VALUE, LONG_AGO = Long.MIN_VALUE;
@@ -205,6 +212,8 @@
     private final ByteBuffer told = ByteBuffer.allocate(21 * TOLD); // positions for the other gateways
     private final PriorityQueue<Wake> wakes =
             new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
+    private final Map<String, Share> shares = new HashMap<>(); // never walked through
+    private final Share unlimited = new Share();
     private final Latency all;
     private long counter, order, now, windowStart;
     private long alarmAt = NEVER;
@@ -219,6 +228,9 @@
         index = settings.index();
         gateways = settings.gateways();
         long second = 1_000_000_000;
+        unlimited.perSecond = Double.MAX_VALUE;
+        settings.tenants().forEach(t ->
+                shares.computeIfAbsent(t.name(), n -> new Share()).perSecond = t.quotaPerSecond() / gateways);
         brisk = settings.methods().stream().mapToLong(Method::softDeadline).min().orElse(second);
         long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
@@ -394,17 +406,19 @@
 
     // ---- Conditions and effects of the table ----
 
-    private boolean unanswerable(Job job) {
-        return job.group == null || job.rpc.method == null;
-    }
-
-    /** While others wait, a client's retry of a read gives way: its soft deadline is all but gone. */
+    /** While others wait, a read gives way that is worth little: a retry, or one over its tenant's share. */
     private boolean givesWay(Job job) {
-        return job.rpc.retry && job.group.waiting > 0 && job.rpc.method.need() != Need.WRITE;
+        boolean over = overShare(job); // counts each RPC, so always asked
+        return (over || job.rpc.retry) && job.group.waiting > 0 && job.rpc.method.need() != Need.WRITE;
     }
 
-    private boolean stillOut(Job job) {
-        return job.out > 0;
+    /** Whether the tenant has used up what of its share falls to this gateway. */
+    private boolean overShare(Job job) {
+        Share share = shares.getOrDefault(job.rpc.tenant, unlimited);
+        double left = Math.min(share.perSecond, share.left + (now - share.at) / 1e9 * share.perSecond);
+        share.left = left < 1 || job.rpc.retry ? left : left - 1;
+        share.at = now;
+        return left < 1;
     }
 
     /** Rule 2, the cap, and the standing practice on further call-outs. */
@@ -430,20 +444,21 @@
         return mayGoOn(job) && findTarget(job);
     }
 
-    private boolean silentAndMayGoOn(Job job) {
+    private boolean silentAndMayMove(Job job) {
         Node last = (Node) job.rpc.callOuts.get(job.rpc.callOuts.size() - 1).member.state;
         if (last.inFlight > 0 && now - last.quietSince >= silence()) {
             putAside(last); // it has been given work and has told nothing since, whatever the cause
         }
-        return last.aside && mayGoOn(job);
-    }
-
-    private boolean copyMayGo(Job job) {
-        return allowed.overlap() && silentAndMayGoOn(job) && findTarget(job);
+        return last.aside && (allowed.overlap() || allowed.cancel()) && nextMayGo(job);
     }
 
-    private boolean moveMayGo(Job job) {
-        return !allowed.overlap() && allowed.cancel() && silentAndMayGoOn(job) && findTarget(job);
+    /** A second call-out beside the silent one, or in its place once it is cancelled. */
+    private void move(Job job) {
+        if (allowed.overlap()) {
+            send(job);
+        } else {
+            cancelAll(job);
+        }
     }
 
     private void send(Job job) {
@@ -488,17 +503,13 @@
 
     /** The final answer, at once: a pushback where trying again can do no harm, else an abort. */
     private void giveUp(Job job) {
-        Method m = job.rpc.method;
+        Method m = job.rpc.method; // unknown only where nothing was sent
         if (job.mayHaveRunAt == NEVER && job.out == 0 || m.effect() == Effect.IDEMPOTENT
                 || m.effect() == Effect.TOKENED && m.scope() == Method.Scope.ALL) {
             effects.pushBack(job.rpc, comeBack);
         } else {
             effects.abort(job.rpc);
         }
-    }
-
-    private void giveUpAndCancel(Job job) {
-        giveUp(job);
         cancelAll(job);
     }
 
--- a/src/main/java/reedquay/sim/SimHost.java
+++ b/src/main/java/reedquay/sim/SimHost.java
@@ -92,8 +92,8 @@
             StringWriter trace = new StringWriter();
             e.printStackTrace(new PrintWriter(trace));
             String text = trace.toString().replace('\n', '|').replaceAll("\\s+", " ");
-            out.append("AS ").append(aboutId).append("\nCRASH ").append(text, 0, Math.min(1500, text.length()));
-            out.append('\n');
+            out.append("AS ").append(aboutId).append("\nCRASH ");
+            out.append(text, 0, Math.min(1500, text.length())).append('\n');
         }
         return out.append("YIELD\n").toString();
     }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -141,6 +141,15 @@
         assertFalse(gate.arrive(ANY, 0, true, null).ended);
     }
 
+    @Test void readsOverTheirTenantsShareGiveWayWhileOthersWait() {
+        assertFalse(gate.arrive(ANY, 0, false, "small").ended);
+        gate.tellPosition("r1", 500);
+        gate.tellPosition("r2", 500);
+        gate.arrive(BOUNDED, 0);
+        assertTrue(gate.arrive(ANY, 0, false, "small").ended);
+        assertFalse(gate.arrive(ANY, 0, false, "other").ended);
+    }
+
     /** Cold members fell over when their budget followed what was sent in a storm. */
     @Test void coldMemberGetsFewInAWindow() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
