--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -57,9 +57,6 @@
     private void step(Job job, Input input) {
         for (Row row : TABLE) {
             if (row.state == job.state && row.input == input && row.when.test(this, job)) {
-                if (job.group != null) {
-                    job.group.waiting += (row.next == State.HELD ? 1 : 0) - (job.state == State.HELD ? 1 : 0);
-                }
                 job.state = row.next;
                 row.effect.accept(this, job);
                 return;
@@ -74,6 +71,7 @@
         final Rpc rpc;
         final Group group;
         final long arrived;
+        final boolean read; // one that a replica may serve
         State state = State.NEW;
         Node target;
         int out, further, misses;
@@ -83,6 +81,8 @@
             this.rpc = rpc;
             this.group = group;
             this.arrived = arrived;
+            Need need = rpc.method == null ? Need.WRITE : rpc.method.need();
+            this.read = need != Need.WRITE && need != Need.FRESH;
         }
 
         boolean at(Node node) {
@@ -95,7 +95,7 @@
         final List<Node> nodes = new ArrayList<>();
         final ArrayDeque<Job> held = new ArrayDeque<>();
         Node primary; // the last known one
-        int waiting; // held RPCs; the queue may still hold some that have ended
+        long pressedUntil = LONG_AGO; // an RPC had to be held a short while ago
         boolean news; // held RPCs are worth another look
 
         Group(int number) {
@@ -406,10 +406,10 @@
 
     // ---- Conditions and effects of the table ----
 
-    /** While others wait, a read gives way that is worth little: a retry, or one over its tenant's share. */
+    /** Under pressure, a read gives way that is worth little: a retry, or one over its tenant's share. */
     private boolean givesWay(Job job) {
         boolean over = overShare(job); // counts each RPC, so always asked
-        return (over || job.rpc.retry) && job.group.waiting > 0 && job.rpc.method.need() != Need.WRITE;
+        return (over || job.rpc.retry) && now < job.group.pressedUntil && job.read;
     }
 
     /** Whether the tenant has used up what of its share falls to this gateway. */
@@ -487,11 +487,12 @@
     /** Waits for a member: a read for half its soft deadline, others while an answer is worth something. */
     private void hold(Job job) {
         Method m = job.rpc.method;
-        long end = m.need() != Need.WRITE && m.need() != Need.FRESH ? job.arrived + m.softDeadline() / 2
+        long end = job.read ? job.arrived + m.softDeadline() / 2
                 : job.arrived + (m.lateShare() > 0 ? m.deadline() : m.softDeadline()) - 2 * tick;
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
+        job.group.pressedUntil = now + brisk;
         job.group.held.addLast(job);
         later(Math.min(end, job.rpc.due - 2 * tick), job, null, Input.EXPIRE);
         for (Node n : job.group.nodes) {
@@ -531,15 +532,13 @@
     // ---- The draw ----
 
     private boolean findTarget(Job job) {
-        Need need = job.rpc.method.need();
-        job.target = need == Need.WRITE || need == Need.FRESH ? lead(job, need) : replica(job, bound(job));
+        job.target = job.read ? replica(job, bound(job)) : lead(job, job.rpc.method.need());
         return job.target != null;
     }
 
     /** Where members check for themselves, a read is sent to one that lags rather than given up. */
     private boolean findUnfit(Job job) {
-        Need need = job.rpc.method.need();
-        job.target = membersCheck && need != Need.WRITE && need != Need.FRESH ? replica(job, NEVER) : null;
+        job.target = membersCheck && job.read ? replica(job, NEVER) : null;
         return job.target != null;
     }
 
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -138,6 +138,7 @@
         assertTrue(gate.arrive(ANY, 0, true, null).ended);
         gate.tellPosition("r1", 10);
         assertFalse(first.callOuts.isEmpty());
+        gate.pass(400);
         assertFalse(gate.arrive(ANY, 0, true, null).ended);
     }
 
