--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -487,7 +487,7 @@
     /** Waits for a member: a read for half its soft deadline, others while an answer is worth something. */
     private void hold(Job job) {
         Method m = job.rpc.method;
-        long end = job.read ? job.arrived + m.softDeadline() / 2
+        long end = job.read ? job.arrived + m.softDeadline() / 4
                 : job.arrived + (m.lateShare() > 0 ? m.deadline() : m.softDeadline()) - 2 * tick;
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
