No further call-outs under pressure, except after a miss

Pressure: an RPC of the group had to be held within the last shortest soft deadline. Harm: while a group lags, a read at a member that dies is pushed back instead of moved.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -423,8 +423,9 @@
 
     /** Rule 2, the cap, and the standing practice on further call-outs. */
     private boolean mayGoOn(Job job) {
+        int further = now < job.group.pressedUntil && job.misses == 0 ? 0 : FURTHER;
         return job.rpc.callOuts.size() < allowed.callOuts() && now < job.rpc.due - tick
-                && job.further < FURTHER && mayRepeat(job);
+                && job.further < further && mayRepeat(job);
     }
 
     /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -151,6 +151,16 @@
         assertFalse(gate.arrive(ANY, 0, false, "other").ended);
     }
 
+    @Test void noFurtherCallOutUnderPressure() {
+        gate.tellPosition("r1", 500);
+        gate.tellPosition("r2", 500);
+        Rpc read = gate.arrive(ANY, 0);
+        gate.arrive(BOUNDED, 0);
+        gate.answer(gate.last(read), Outcome.RESET, Report.NO_POSITION, Role.UNKNOWN);
+        assertEquals(1, read.callOuts.size());
+        assertTrue(gate.pushedBack.contains(read));
+    }
+
     /** Cold members fell over when their budget followed what was sent in a storm. */
     @Test void coldMemberGetsFewInAWindow() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
