Nothing is sent or held on that the client will not wait for

Cause: held writes went out within the last 100 ms before their client gave up, so that they could neither be answered nor pushed back. Told from a hanging primary by the age of the call-out, under 0.1 s instead of the whole deadline. It also spares members in any jam. Harm: an RPC much quicker than usual might still have made it.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -185,7 +185,7 @@
 
     /** What a tenant may still send at its full worth. */
     private static final class Share {
-        double perSecond, left;
+        double perSecond = Double.MAX_VALUE, left;
         long at;
     }
 
@@ -218,7 +218,6 @@
     private long counter, order, now, windowStart;
     private long alarmAt = NEVER;
     private int oks, lastOks; // answers in this cold window and in the one before
-    private boolean started;
 
     public Router(Settings settings, Effects effects) {
         this.effects = effects;
@@ -228,7 +227,6 @@
         index = settings.index();
         gateways = settings.gateways();
         long second = 1_000_000_000;
-        unlimited.perSecond = Double.MAX_VALUE;
         settings.tenants().forEach(t ->
                 shares.computeIfAbsent(t.name(), n -> new Share()).perSecond = t.quotaPerSecond() / gateways);
         brisk = settings.methods().stream().mapToLong(Method::softDeadline).min().orElse(second);
@@ -247,16 +245,15 @@
         coldMultiple = settings.rules().coldMultiple();
         comeBack = allowed.retryAfter() ? Math.min(brisk, allowed.longestRetryAfter()) : 0;
         all = new Latency(brisk / 16);
+        if (allowed.listOnRequest()) {
+            effects.subscribe();
+        }
     }
 
     // ---- Inputs ----
 
     @Override public void begin(long time) {
         now = time;
-        if (!started && allowed.listOnRequest()) {
-            effects.subscribe();
-        }
-        started = true;
         if (now - windowStart >= coldWindow) {
             lastOks = now - windowStart >= 2 * coldWindow ? 0 : oks;
             oks = 0;
@@ -408,8 +405,7 @@
 
     /** Under pressure, a read gives way that is worth little: a retry, or one over its tenant's share. */
     private boolean givesWay(Job job) {
-        boolean over = overShare(job); // counts each RPC, so always asked
-        return (over || job.rpc.retry) && now < job.group.pressedUntil && job.read;
+        return (overShare(job) | job.rpc.retry) && now < job.group.pressedUntil && job.read; // all count
     }
 
     /** Whether the tenant has used up what of its share falls to this gateway. */
@@ -424,10 +420,15 @@
     /** Rule 2, the cap, and the standing practice on further call-outs. */
     private boolean mayGoOn(Job job) {
         int further = now < job.group.pressedUntil && job.misses == 0 ? 0 : FURTHER;
-        return job.rpc.callOuts.size() < allowed.callOuts() && now < job.rpc.due - tick
+        return job.rpc.callOuts.size() < allowed.callOuts() && now < latest(job)
                 && job.further < further && mayRepeat(job);
     }
 
+    /** Guards against call-outs that no client waits for: they would make an abort of a pushback. */
+    private long latest(Job job) {
+        return job.rpc.due - 2 * tick - all.mean(brisk / 4);
+    }
+
     /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
     private boolean mayRepeat(Job job) {
         long first = job.mayHaveRunAt;
@@ -495,7 +496,7 @@
         }
         job.group.pressedUntil = now + brisk;
         job.group.held.addLast(job);
-        later(Math.min(end, job.rpc.due - 2 * tick), job, null, Input.EXPIRE);
+        later(Math.min(end, latest(job)), job, null, Input.EXPIRE);
         for (Node n : job.group.nodes) {
             if (probesTell && now - probeAge * (1 + n.turn) / 4 >= n.probedAt) {
                 probe(n);
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -161,6 +161,17 @@
         assertTrue(gate.pushedBack.contains(read));
     }
 
+    /** A write sent just before its client gave up became an abort, where it could have been pushed back. */
+    @Test void nothingIsSentThatTheClientWillNotWaitFor() {
+        Rpc write = gate.arrive(WRITE, 0);
+        while (!gate.out.isEmpty()) {
+            gate.answer(gate.out.get(0), Outcome.MISS, Report.NO_POSITION, Role.REPLICA);
+        }
+        gate.pass(1495);
+        assertEquals(3, write.callOuts.size());
+        assertTrue(gate.pushedBack.contains(write) && gate.now < write.due);
+    }
+
     /** Cold members fell over when their budget followed what was sent in a storm. */
     @Test void coldMemberGetsFewInAWindow() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
