--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -201,7 +201,7 @@
     private final Settings.Allowed allowed;
     private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow, comeBack;
     private final long brisk; // the shortest soft deadline
-    private final boolean probesTell, answersTell, membersCheck, remembered;
+    private final boolean probesTell, membersCheck, remembered;
     private final double coldShare, coldMultiple;
     private final int index, gateways;
     private final CRC32 crc = new CRC32();
@@ -236,7 +236,6 @@
         floor = 2 * tick;
         pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
-        answersTell = settings.positions().inAnswers() || settings.positions().inAnswerReports();
         membersCheck = settings.positions().membersCheck();
         remembered = settings.positions().rememberedTokens();
         coldFor = settings.rules().coldFor();
@@ -566,7 +565,7 @@
     /** One replica whose estimate is under the bound, drawn by weight. */
     private Node replica(Job job, long bound) {
         boolean any = bound == NEVER, replicaLeft = false;
-        Node primary = job.group.primary, oldest = null;
+        Node primary = job.group.primary;
         Node[] fit = new Node[job.group.nodes.size()];
         double[] weight = new double[fit.length];
         double sum = 0;
@@ -589,12 +588,6 @@
             fit[count] = n;
             weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (double) (n.inFlight + 1));
             sum += weight[count++];
-            if (old && n.inFlight == 0 && (oldest == null || n.position < oldest.position)) {
-                oldest = n;
-            }
-        }
-        if (job.rpc.method.need() == Need.ANY && answersTell && !probesTell && oldest != null) {
-            return oldest; // no probe can refresh a position here: a read that any member may answer does
         }
         if (!replicaLeft && primary != null && usable(primary)) {
             return primary; // no replica is left at all: the primary is the only reader
