--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -120,7 +120,7 @@
         double room = ROOM; // how many call-outs may be in flight
         int strikes; // times turned away in a row
         long restUntil = LONG_AGO, cutAt = LONG_AGO;
-        boolean aside, probing;
+        boolean aside, reported, probing; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long quietSince, trialWait;
 
@@ -493,6 +493,9 @@
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
+        if (now - 8 * brisk >= job.group.pressedUntil) {
+            effects.log("group " + job.group.number + ": RPCs have to be held, now under pressure");
+        }
         job.group.pressedUntil = now + brisk;
         job.group.held.addLast(job);
         later(Math.min(end, latest(job)), job, null, Input.EXPIRE);
@@ -711,11 +714,11 @@
 
     private void answers(Node node) {
         node.quietSince = now;
-        if (node.aside) {
-            node.aside = false;
-            node.room = Math.min(node.room, ROOM); // it may be back cold before the list says so
+        if (node.reported) {
             effects.log(node.member.id + " answers again");
         }
+        node.room = node.aside ? Math.min(node.room, ROOM) : node.room; // it may be cold, unlisted
+        node.aside = node.reported = false;
     }
 
     private void putAside(Node node) {
@@ -724,12 +727,15 @@
             node.mayTry = false;
             node.trialWait = silence();
             later(now + node.trialWait, null, node, Input.WAKE);
-            effects.log(node.member.id + " is put aside");
         }
     }
 
     private void tryAgain(Node node) {
         if (node.aside && node.open) {
+            if (!node.reported) { // a single long answer is over by now, and no line is worth it
+                effects.log(node.member.id + " is put aside");
+            }
+            node.reported = true;
             node.mayTry |= !allowed.probes();
             probe(node);
             node.trialWait = Math.min(node.trialWait * 2, 4 * brisk);
