Clients are asked back after a quarter of the shortest soft deadline

Cause: the advice named a time at which a read is late already. Harm: more tries an RPC in a long overload, each pushed back without work.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -242,7 +242,7 @@
         coldWindow = Math.max(settings.rules().coldWindow(), tick);
         coldShare = settings.rules().coldShare();
         coldMultiple = settings.rules().coldMultiple();
-        comeBack = allowed.retryAfter() ? Math.min(brisk, allowed.longestRetryAfter()) : 0;
+        comeBack = allowed.retryAfter() ? Math.min(brisk / 4, allowed.longestRetryAfter()) : 0;
         all = new Latency(brisk / 16);
         if (allowed.listOnRequest()) {
             effects.subscribe();
