--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -26,6 +26,7 @@
     private final Map<String, Method> methods = new HashMap<>();
     private final Map<String, Member> members = new HashMap<>();
     private final Map<Long, Rpc> rpcs = new HashMap<>();
+    private final Set<Integer> groups = new HashSet<>();
     private final Set<String> complained = new HashSet<>();
     private final String[] reportNames;
     private final boolean progressTold;
@@ -102,6 +103,9 @@
         String tenant = line.optional("a tenant");
         String grade = line.optional("a class");
         Method method = methods.get(grade);
+        if (method == null || !groups.contains(group)) {
+            complain("an RPC names a method or a group that is not known here");
+        }
         Rpc rpc = new Rpc(handle, group, session, due, (opts & 2) != 0, tokenAge, tenant, method);
         rpcs.put(handle, rpc);
         decider.arrived(rpc);
@@ -161,6 +165,7 @@
         String zone = line.optional("a zone");
         String kind = line.optional("a kind of machine");
         int group = (int) line.integerOr(-1, "a group's number");
+        groups.add(group);
         Listed.Phase phase = switch (line.word("U, L or D")) {
             case "U" -> Listed.Phase.UP;
             case "L" -> Listed.Phase.DRAINING;
--- a/src/test/java/reedquay/sim/WireTest.java
+++ b/src/test/java/reedquay/sim/WireTest.java
@@ -68,6 +68,8 @@
         start("3");
         String reply = reply("ABOUT 3", "JOB_IN 17 4 - - 900 0 - - x", "JOB_IN 18 9 - - 900 0 - - r");
         assertTrue(reply.contains("PUSH_BACK 17") && reply.contains("PUSH_BACK 18"), reply);
+        assertEquals(reply.indexOf("EMIT"), reply.lastIndexOf("EMIT"));
+        assertTrue(reply.contains("EMIT an RPC names"), reply);
     }
 
     @Test void malformedLinesAreNamed() throws IOException {
