Positions are told to all gateways only where that fits one message's volume

Now a gateway tells only where all others together get no more than one full message a position. Also covers lost or dear messages; harms where one position would save many probes.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -195,13 +195,13 @@
     private static final int FURTHER = 2; // the users' standing practice
     private static final int ROOM = 2; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
-    private static final int TOLD = Integer.BYTES + Long.BYTES; // a member's key and its position
+    private static final int MESSAGE = 256, TOLD = Integer.BYTES + Long.BYTES; // a member's key and position
 
     private final Effects effects;
     private final Settings.Allowed allowed;
     private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow, comeBack;
     private final long brisk; // the shortest soft deadline
-    private final boolean probesTell, membersCheck, remembered;
+    private final boolean probesTell, peersTell, membersCheck, remembered;
     private final double coldShare, coldMultiple;
     private final int index, gateways;
     private final CRC32 crc = new CRC32();
@@ -209,7 +209,7 @@
     private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
     private final List<Node> nodes = new ArrayList<>();
     private final Map<Integer, Node> byKey = new HashMap<>(); // never walked through
-    private final ByteBuffer told = ByteBuffer.allocate(21 * TOLD); // positions for the other gateways
+    private final ByteBuffer told = ByteBuffer.allocate(MESSAGE / TOLD * TOLD); // positions for the other gateways
     private final PriorityQueue<Wake> wakes =
             new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
     private final Map<String, Share> shares = new HashMap<>(); // never walked through
@@ -236,6 +236,7 @@
         floor = 2 * tick;
         pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
+        peersTell = allowed.peers() && (gateways - 1) * TOLD <= MESSAGE; // telling all grows with their square
         membersCheck = settings.positions().membersCheck();
         remembered = settings.positions().rememberedTokens();
         coldFor = settings.rules().coldFor();
@@ -297,7 +298,7 @@
             Node node = (Node) entry.member().state;
             if (node == null) {
                 Member member = entry.member();
-                int turn = allowed.peers() ? Math.floorMod(member.id.hashCode() + index, gateways) : 0;
+                int turn = peersTell ? Math.floorMod(member.id.hashCode() + index, gateways) : 0;
                 node = new Node(member, groups.computeIfAbsent(entry.group(), Group::new), turn, brisk / 16);
                 member.state = node;
                 nodes.add(node);
@@ -349,7 +350,7 @@
     @Override public void probed(Member member, Outcome outcome, long took, Report report) {
         Node node = (Node) member.state;
         node.probing = false;
-        if (allowed.peers() && report.position() > node.position && told.remaining() >= TOLD) {
+        if (peersTell && report.position() > node.position && told.remaining() >= TOLD) {
             told.putInt(node.key).putLong(report.position());
         }
         learn(node, report.position(), report.role(), report.position());
