A read probes one replica at a time, the one longest unprobed

Cause: where each gateway sees few reads of a group, probing all its replicas for each read keeps nothing fresh for the next one and is priced. A read that finds no fit replica now probes one, and the next when that one comes back unfit. Also covers late reports; harms where the one probed is silent: the read then waits for other news.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -500,11 +500,6 @@
         job.group.pressedUntil = now + brisk;
         job.group.held.addLast(job);
         later(Math.min(end, latest(job)), job, null, Input.EXPIRE);
-        for (Node n : job.group.nodes) {
-            if (probesTell && now - probeAge * (1 + n.turn) / 4 >= n.probedAt) {
-                probe(n);
-            }
-        }
     }
 
     /** The final answer, at once: a pushback where trying again can do no harm, else an abort. */
@@ -569,7 +564,7 @@
     /** One replica whose estimate is under the bound, drawn by weight. */
     private Node replica(Job job, long bound) {
         boolean any = bound == NEVER, replicaLeft = false;
-        Node primary = job.group.primary;
+        Node primary = job.group.primary, oldest = null;
         Node[] fit = new Node[job.group.nodes.size()];
         double[] weight = new double[fit.length];
         double sum = 0;
@@ -583,8 +578,9 @@
             }
             replicaLeft = true;
             boolean old = now - probeAge >= n.position;
-            if (!any && probesTell && old && now - probeAge * (4 + n.turn) / 8 >= n.probedAt) {
-                probe(n);
+            if (!any && probesTell && old && now - probeAge * (4 + n.turn) / 8 >= n.probedAt && usable(n)
+                    && (oldest == null || n.probedAt < oldest.probedAt)) {
+                oldest = n;
             }
             if (!usable(n) || !any && estimate(n) >= bound || job.at(n) && fit.length > 2) {
                 continue;
@@ -593,6 +589,9 @@
             weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (double) (n.inFlight + 1));
             sum += weight[count++];
         }
+        if (oldest != null) {
+            probe(oldest);
+        }
         if (!replicaLeft && primary != null && usable(primary)) {
             return primary; // no replica is left at all: the primary is the only reader
         }
