Only draining closes a member where the settings say so

Evidence that the list was untrue: call-outs already out came back well after it, no connects failed, and latency stayed as before. Where the settings say that only draining binds, gone or left out proves nothing now; silence and failed connects put a member aside as ever. Also covers lists that shrink or empty. Table: two like inputs folded.

--- a/src/main/java/reedquay/core/Settings.java
+++ b/src/main/java/reedquay/core/Settings.java
@@ -12,7 +12,7 @@
             long longestRetryAfter, int callOuts, long connectTimeout, boolean listOnRequest) { }
 
     public record Rules(double coldShare, long coldFor, double coldMultiple, long coldWindow, long drainGrace,
-            long answerGrace, long askEvery) { }
+            long answerGrace, long askEvery, boolean onlyDrainingBinds) { }
 
     /** Where positions come from, and whether members turn away reads they are too far behind for. */
     public record Positions(boolean inAnswers, boolean inAnswerReports, boolean inProbes,
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -18,7 +18,7 @@
 public final class Router implements Decider {
     enum State { NEW, HELD, OUT, ENDED }
 
-    enum Input { ARRIVE, WAKE, EXPIRE, SLOW, OK, NEVER_RAN, MAY_HAVE_RUN, DUE, LEFT }
+    enum Input { ARRIVE, WAKE, EXPIRE, SLOW, OK, FAILED, DUE, LEFT }
 
     private record Row(State state, Input input, BiPredicate<Router, Job> when, State next,
             BiConsumer<Router, Job> effect) { }
@@ -42,14 +42,10 @@
         new Row(State.OUT, Input.SLOW, Router::silentAndMayMove, State.OUT, Router::move),
         new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
         new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
-        new Row(State.OUT, Input.NEVER_RAN, STILL_OUT, State.OUT, NOTHING),
-        new Row(State.OUT, Input.NEVER_RAN, Router::nextMayGo, State.OUT, Router::send),
-        new Row(State.OUT, Input.NEVER_RAN, Router::mayGoOn, State.HELD, Router::hold),
-        new Row(State.OUT, Input.NEVER_RAN, ALWAYS, State.ENDED, Router::giveUp),
-        new Row(State.OUT, Input.MAY_HAVE_RUN, STILL_OUT, State.OUT, NOTHING),
-        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::nextMayGo, State.OUT, Router::send),
-        new Row(State.OUT, Input.MAY_HAVE_RUN, Router::mayGoOn, State.HELD, Router::hold),
-        new Row(State.OUT, Input.MAY_HAVE_RUN, ALWAYS, State.ENDED, Router::giveUp),
+        new Row(State.OUT, Input.FAILED, STILL_OUT, State.OUT, NOTHING),
+        new Row(State.OUT, Input.FAILED, Router::nextMayGo, State.OUT, Router::send),
+        new Row(State.OUT, Input.FAILED, Router::mayGoOn, State.HELD, Router::hold),
+        new Row(State.OUT, Input.FAILED, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.OUT, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.OUT, Input.LEFT, ALWAYS, State.ENDED, Router::cancelAll),
     };
@@ -112,7 +108,7 @@
         final Latency latency;
         final Latency strain; // latencies, each as if its soft deadline were the shortest
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
-        boolean open, listedPrimary; // open: listed, and neither draining nor gone
+        boolean open, listedPrimary; // open: listed and not draining; nor gone, where that binds
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION;
         long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
@@ -202,6 +198,7 @@
     private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow, comeBack;
     private final long brisk; // the shortest soft deadline
     private final boolean probesTell, peersTell, membersCheck, remembered;
+    private final boolean goneOpen; // guards against lists that call live members gone: answers tell better
     private final double coldShare, coldMultiple;
     private final int index, gateways;
     private final CRC32 crc = new CRC32();
@@ -238,6 +235,7 @@
         probesTell = allowed.probes() && settings.positions().inProbes();
         peersTell = allowed.peers() && (gateways - 1) * TOLD <= MESSAGE; // telling all grows with their square
         membersCheck = settings.positions().membersCheck();
+        goneOpen = settings.rules().onlyDrainingBinds();
         remembered = settings.positions().rememberedTokens();
         coldFor = settings.rules().coldFor();
         coldWindow = Math.max(settings.rules().coldWindow(), tick);
@@ -292,7 +290,7 @@
             return;
         }
         if (kind != Listed.ListKind.CHANGES) {
-            nodes.forEach(n -> n.open = false); // what a full list leaves out is gone
+            nodes.forEach(n -> n.open &= goneOpen); // what a full list leaves out is gone
         }
         for (Listed entry : entries) {
             Node node = (Node) entry.member().state;
@@ -305,8 +303,8 @@
                 byKey.put(node.key, node);
                 node.group.nodes.add(node);
             }
-            boolean opened = !node.open && entry.phase() == Listed.Phase.UP;
-            node.open = entry.phase() == Listed.Phase.UP;
+            boolean up = entry.phase() == Listed.Phase.UP, opened = !node.open && up;
+            node.open = up || goneOpen && node.open && entry.phase() == Listed.Phase.GONE;
             node.listedPrimary = entry.primary();
             node.startedAt = Math.max(node.startedAt, entry.startedAt() == 0 ? LONG_AGO : entry.startedAt());
             if (opened && probesTell) {
@@ -344,7 +342,7 @@
         }
         job.misses += outcome == Outcome.MISS ? 1 : 0;
         node.group.news = true;
-        step(job, ended ? Input.OK : outcome.provesNeverRan ? Input.NEVER_RAN : Input.MAY_HAVE_RUN);
+        step(job, ended ? Input.OK : Input.FAILED);
     }
 
     @Override public void probed(Member member, Outcome outcome, long took, Report report) {
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -110,7 +110,7 @@
     }
 
     @Test void withoutOverlapASilentCallOutIsCancelledBeforeTheNext() {
-        Gate alone = new Gate(false, true, true, false);
+        Gate alone = new Gate(false, true, true, false, false);
         alone.batch(() -> alone.list(Listed.ListKind.FULL, alone.up("r1", false), alone.up("r2", false)));
         Rpc rpc = alone.arrive(ANY, 0);
         alone.pass(1000);
@@ -189,8 +189,20 @@
         }
     }
 
+    /** A list called live members gone, and the module closed them where only draining binds. */
+    @Test void membersThatAListCallsGoneServeOnWhereOnlyDrainingBinds() {
+        for (boolean onlyDraining : new boolean[] {false, true}) {
+            Gate gate = usual(onlyDraining);
+            gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.GONE, false, 0)));
+            gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.entry("p", Listed.Phase.DRAINING, true, 0)));
+            gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("p", Listed.Phase.GONE, true, 0)));
+            assertEquals(onlyDraining, !gate.arrive(ANY, 0).callOuts.isEmpty());
+            assertTrue(gate.arrive(WRITE, 0).callOuts.stream().noneMatch(c -> c.member.id.equals("p")));
+        }
+    }
+
     @Test void positionsToldByOtherGatewaysCountAndNonsenseDoesNot() {
-        Gate gate = new Gate(false, false, true, true);
+        Gate gate = new Gate(false, false, true, true, false);
         gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.up("p", true), gate.up("r1", false)));
         ByteBuffer message = ByteBuffer.allocate(29).putInt("r1".hashCode()).putLong(gate.now - 10 * MS);
         message.putInt("p".hashCode()).putLong(gate.now + 1);
--- a/src/test/java/reedquay/route/RulesTest.java
+++ b/src/test/java/reedquay/route/RulesTest.java
@@ -27,8 +27,8 @@
         final List<CallOut> sent = new ArrayList<>();
         String primary = "a";
 
-        World(long seed, boolean overlap) {
-            super(overlap, true, true, false);
+        World(long seed, boolean overlap, boolean onlyDraining) {
+            super(overlap, true, true, false, onlyDraining);
             random = new SplittableRandom(seed);
             ids.forEach(id -> truth.put(member(id), now));
             excused.add(member("a"));
@@ -98,10 +98,13 @@
 
         private void relist(String id) {
             Member m = member(id);
-            int what = random.nextInt(4);
-            if (what == 0) {
-                closed.put(m, now);
-                list(Listed.ListKind.CHANGES, entry(id, Listed.Phase.DRAINING, false, 0));
+            int what = random.nextInt(5);
+            if (what == 0 || what == 4) {
+                if (what == 0 || !settings.rules().onlyDrainingBinds()) {
+                    closed.putIfAbsent(m, now);
+                }
+                list(Listed.ListKind.CHANGES,
+                        entry(id, what == 0 ? Listed.Phase.DRAINING : Listed.Phase.GONE, false, 0));
             } else {
                 closed.remove(m);
                 long start = what == 1 ? now - random.nextInt(3000) * MS : 0;
@@ -197,7 +200,7 @@
         int aborted = 0;
         int pushedBack = 0;
         for (int seed = 0; seed < 30; seed++) {
-            World world = new World(seed, seed % 2 == 0);
+            World world = new World(seed, seed % 2 == 0, seed % 3 == 0);
             world.run(600);
             sent += world.sent.size();
             aborted += world.aborted.size();
@@ -207,8 +210,8 @@
     }
 
     @Test void sameEventsGiveSameActions() {
-        World one = new World(5, true);
-        World two = new World(5, true);
+        World one = new World(5, true, false);
+        World two = new World(5, true, false);
         one.run(300);
         two.run(300);
         assertEquals(one.did, two.did);
