--- a/src/main/java/reedquay/core/Decider.java
+++ b/src/main/java/reedquay/core/Decider.java
@@ -18,7 +18,5 @@
 
     void clientGone(Rpc rpc);
 
-    void heard(int gateway, byte[] message);
-
     void end();
 }
--- a/src/main/java/reedquay/core/Effects.java
+++ b/src/main/java/reedquay/core/Effects.java
@@ -16,8 +16,6 @@
 
     void wakeIn(long delay);
 
-    void tell(byte[] message);
-
     void subscribe();
 
     void log(String line);
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -1,6 +1,5 @@
 package reedquay.route;
 
-import java.nio.ByteBuffer;
 import java.util.*;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
@@ -103,8 +102,6 @@
     private static final class Node {
         final Member member;
         final Group group;
-        final int key; // what gateways call it among themselves
-        final int turn; // gateways take turns at probing it: 0 where it is this gateway's own
         final Latency latency;
         final Latency strain; // latencies, each as if its soft deadline were the shortest
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
@@ -120,11 +117,9 @@
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long quietSince, trialWait;
 
-        Node(Member member, Group group, int turn, long unit) {
+        Node(Member member, Group group, long unit) {
             this.member = member;
             this.group = group;
-            this.key = member.id.hashCode();
-            this.turn = turn;
             this.latency = new Latency(unit);
             this.strain = new Latency(unit);
         }
@@ -191,22 +186,19 @@
     private static final int FURTHER = 2; // the users' standing practice
     private static final int ROOM = 2; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
-    private static final int MESSAGE = 256, TOLD = Integer.BYTES + Long.BYTES; // a member's key and position
 
     private final Effects effects;
     private final Settings.Allowed allowed;
     private final long seed, tick, floor, pad, probeAge, coldFor, coldWindow, comeBack;
     private final long brisk; // the shortest soft deadline
-    private final boolean probesTell, peersTell, membersCheck, remembered;
+    private final boolean probesTell, membersCheck, remembered;
     private final boolean goneOpen; // guards against lists that call live members gone: answers tell better
     private final double coldShare, coldMultiple;
-    private final int index, gateways;
+    private final int gateways;
     private final CRC32 crc = new CRC32();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
     private final List<Node> nodes = new ArrayList<>();
-    private final Map<Integer, Node> byKey = new HashMap<>(); // never walked through
-    private final ByteBuffer told = ByteBuffer.allocate(MESSAGE / TOLD * TOLD); // positions for the other gateways
     private final PriorityQueue<Wake> wakes =
             new PriorityQueue<>(Comparator.comparingLong(Wake::at).thenComparingLong(Wake::order));
     private final Map<String, Share> shares = new HashMap<>(); // never walked through
@@ -221,7 +213,6 @@
         allowed = settings.allowed();
         seed = settings.seed();
         tick = settings.tick();
-        index = settings.index();
         gateways = settings.gateways();
         long second = 1_000_000_000;
         settings.tenants().forEach(t ->
@@ -233,7 +224,6 @@
         floor = 2 * tick;
         pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
-        peersTell = allowed.peers() && (gateways - 1) * TOLD <= MESSAGE; // telling all grows with their square
         membersCheck = settings.positions().membersCheck();
         goneOpen = settings.rules().onlyDrainingBinds();
         remembered = settings.positions().rememberedTokens();
@@ -274,10 +264,6 @@
             }
         }
         groups.values().forEach(this::wakeHeld);
-        if (told.position() > 0) {
-            effects.tell(Arrays.copyOf(told.array(), told.position()));
-            told.clear();
-        }
         if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now)) {
             alarmAt = wakes.peek().at;
             effects.wakeIn(alarmAt - now);
@@ -296,11 +282,9 @@
             Node node = (Node) entry.member().state;
             if (node == null) {
                 Member member = entry.member();
-                int turn = peersTell ? Math.floorMod(member.id.hashCode() + index, gateways) : 0;
-                node = new Node(member, groups.computeIfAbsent(entry.group(), Group::new), turn, brisk / 16);
+                node = new Node(member, groups.computeIfAbsent(entry.group(), Group::new), brisk / 16);
                 member.state = node;
                 nodes.add(node);
-                byKey.put(node.key, node);
                 node.group.nodes.add(node);
             }
             boolean up = entry.phase() == Listed.Phase.UP, opened = !node.open && up;
@@ -348,9 +332,6 @@
     @Override public void probed(Member member, Outcome outcome, long took, Report report) {
         Node node = (Node) member.state;
         node.probing = false;
-        if (peersTell && report.position() > node.position && told.remaining() >= TOLD) {
-            told.putInt(node.key).putLong(report.position());
-        }
         learn(node, report.position(), report.role(), report.position());
         node.group.news = true;
         node.mayTry = node.aside && outcome == Outcome.OK;
@@ -360,19 +341,6 @@
         step((Job) rpc.state, Input.LEFT);
     }
 
-    /** What another gateway's probe found: a position is a lower bound, whoever tells it. */
-    @Override public void heard(int gateway, byte[] message) {
-        for (ByteBuffer in = ByteBuffer.wrap(message); in.remaining() >= TOLD;) {
-            Node node = byKey.get(in.getInt());
-            long position = in.getLong();
-            if (node != null && position <= now) {
-                node.probedAt = Math.max(node.probedAt, now - tick);
-                learn(node, position, Role.UNKNOWN, now);
-                node.group.news = true;
-            }
-        }
-    }
-
     /** Newest evidence counts, by the time at which it was true. */
     private void learn(Node node, long position, Role role, long at) {
         if (position != Report.NO_POSITION) {
@@ -576,7 +544,7 @@
             }
             replicaLeft = true;
             boolean old = now - probeAge >= n.position;
-            if (!any && probesTell && old && now - probeAge * (4 + n.turn) / 8 >= n.probedAt && usable(n)
+            if (!any && probesTell && old && now - probeAge / 2 >= n.probedAt && usable(n)
                     && (oldest == null || n.probedAt < oldest.probedAt)) {
                 oldest = n;
             }
