A cold member's budget below one RPC is a chance drawn for each window

Now what is left below one RPC is a chance, at least one over the number of gateways so that no member stays out for good. Also covers restarted gateways, which knew nothing and sent one each.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -109,7 +109,8 @@
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION;
         long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
-        int inFlight;
+        int inFlight, allowance; // allowance: what a cold member may get, as drawn for the window
+        long drawnAt = LONG_AGO;
         double room = ROOM; // how many call-outs may be in flight
         int strikes; // times turned away in a row
         long restUntil = LONG_AGO, cutAt = LONG_AGO;
@@ -612,7 +613,8 @@
 
     /**
      * Rule 4: in every window a cold member gets half of the stated multiple of its share of what a member is
-     * seen to answer, by this gateway alone; what is sent is no measure: under overload it is more.
+     * seen to answer, by this gateway alone; what is sent is no measure: under overload it is more. The part
+     * below one RPC is drawn anew in each window: one each would be too many where many gateways share it.
      */
     private boolean warmEnough(Node node) {
         while (!node.sends.isEmpty() && node.sends.peekFirst() <= now - coldWindow) {
@@ -621,9 +623,13 @@
         if (node.startedAt == LONG_AGO || now - node.startedAt >= coldFor) {
             return true;
         }
-        double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
-        double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
-        return node.sends.size() + 1 <= Math.max(1, coldMultiple * share * typical / 2);
+        if (node.drawnAt != windowStart) {
+            node.drawnAt = windowStart;
+            double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
+            double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
+            node.allowance = (int) (Math.max(1.0 / gateways, coldMultiple * share * typical / 2) + chance());
+        }
+        return node.sends.size() < node.allowance;
     }
 
     // ---- Health ----
