A tenant's share may pile up by the root of the number of gateways

Cause: divided by 56 gateways a tenant's share came to less than one RPC a second, and its bucket never held a whole one: under pressure every read counted as over its share and was pushed back. Also covers uneven front layers. Could harm: a tenant's first burst after a calm passes.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -177,7 +177,7 @@
 
     /** What a tenant may still send at its full worth. */
     private static final class Share {
-        double perSecond = Double.MAX_VALUE, left;
+        double perSecond = Double.MAX_VALUE, most = Double.MAX_VALUE, left; // most: the wider, the thinner the traffic
         long at;
     }
 
@@ -216,8 +216,11 @@
         tick = settings.tick();
         gateways = settings.gateways();
         long second = 1_000_000_000;
-        settings.tenants().forEach(t ->
-                shares.computeIfAbsent(t.name(), n -> new Share()).perSecond = t.quotaPerSecond() / gateways);
+        for (Settings.Tenant t : settings.tenants()) {
+            Share share = shares.computeIfAbsent(t.name(), n -> new Share());
+            share.perSecond = t.quotaPerSecond() / gateways;
+            share.most = t.quotaPerSecond() / Math.sqrt(gateways); // chance weighs more in a small part
+        }
         brisk = settings.methods().stream().mapToLong(Method::softDeadline).min().orElse(second);
         long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
@@ -378,7 +381,7 @@
     /** Whether the tenant has used up what of its share falls to this gateway. */
     private boolean overShare(Job job) {
         Share share = shares.getOrDefault(job.rpc.tenant, unlimited);
-        double left = Math.min(share.perSecond, share.left + (now - share.at) / 1e9 * share.perSecond);
+        double left = Math.min(share.most, share.left + (now - share.at) / 1e9 * share.perSecond);
         share.left = left < 1 || job.rpc.retry ? left : left - 1;
         share.at = now;
         return left < 1;
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -150,6 +150,15 @@
         assertFalse(gate.arrive(ANY, 0, false, "other").ended);
     }
 
+    /** With many gateways a tenant's part came to less than one RPC, and every read counted as over it. */
+    @Test void aSmallPartOfATenantsShareStillLetsAReadThrough() {
+        Gate gate = new Gate(true, true, true, false, 0, 100);
+        gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.up("p", true), gate.up("r1", false)));
+        gate.pass(20_000);
+        gate.arrive(BOUNDED, 0);
+        assertFalse(gate.arrive(ANY, 0, false, "small").ended);
+    }
+
     @Test void noFurtherCallOutUnderPressure() {
         gate.tellPosition("r1", 500);
         gate.tellPosition("r2", 500);
