The draw counts the calls in flight that a member reports, smoothed

Evidence: latency high with own counts at zero, and the slow kind of member worst. DESIGN's weight is kept; its in-flight number is now the larger of the own and the smoothed reported one (in flight, else queue). Also covers a member slowed for another cause. Could harm where reports lie; then latency still counts.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -109,6 +109,7 @@
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION;
         long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
+        double load; // smoothed: calls in flight there from all gateways, as reported
         int inFlight, allowance; // allowance: what a cold member may get, as drawn for the window
         long drawnAt = LONG_AGO;
         double room = ROOM; // how many call-outs may be in flight
@@ -336,6 +337,9 @@
     @Override public void probed(Member member, Outcome outcome, long took, Report report) {
         Node node = (Node) member.state;
         node.probing = false;
+        if (report.inFlight() >= 0 || report.queue() >= 0) {
+            node.load += (Math.max(report.inFlight(), report.queue()) - node.load) / 4;
+        }
         learn(node, report.position(), report.role(), report.position());
         node.group.news = true;
         node.mayTry = node.aside && outcome == Outcome.OK;
@@ -556,7 +560,7 @@
                 continue;
             }
             fit[count] = n;
-            weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (double) (n.inFlight + 1));
+            weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (Math.max(n.load, n.inFlight) + 1));
             sum += weight[count++];
         }
         if (oldest != null) {
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -206,6 +206,17 @@
         assertTrue(sent > 0 && sent < 20, "sent " + sent);
     }
 
+    /** One gateway's own calls in flight say little of a member that many share. */
+    @Test void memberThatReportsManyCallsInFlightIsDrawnLess() {
+        int busy = 0;
+        for (int i = 0; i < 60; i++) {
+            gate.batch(() -> gate.router.probed(gate.member("r1"), Outcome.OK, MS,
+                    new Report(gate.now, Role.REPLICA, -1, -1, 20)));
+            busy += gate.serve(ANY).id.equals("r1") ? 1 : 0;
+        }
+        assertTrue(busy > 0 && busy < 20, "busy one drawn " + busy);
+    }
+
     @Test void drainingMemberGetsNothingNew() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.DRAINING, false, 0)));
         for (int i = 0; i < 8; i++) {
