Trials of a member put aside back off; a restart ends the wait

Cause: a hung member's probes come back, and each gateway then risked an RPC on it every four shortest soft deadlines: with 243 gateways most reads of its group. Evidence: the tenth of members with most unanswered calls took 9% of all sends. The wait between trials now doubles up to 32 shortest soft deadlines, a listed new start or reopening ends it. Could harm: a member that comes back under its old start is used late. Also fixed: a member closed while aside and opened again was never tried.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -117,7 +117,7 @@
         long restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, reported, probing; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
-        long quietSince, trialWait;
+        long quietSince, trialWait, trialAt;
 
         Node(Member member, Group group, long unit) {
             this.member = member;
@@ -186,6 +186,7 @@
 
     private static final long NEVER = Long.MAX_VALUE, LONG_AGO = Long.MIN_VALUE;
     private static final int FURTHER = 2; // the users' standing practice
+    private static final int LAST_TRIAL = 32; // the longest wait between trials, in shortest soft deadlines
     private static final int ROOM = 2; // call-outs in flight at a member before anything is known of it
     private static final int SCAN = 32; // held RPCs looked at for one group in one batch
 
@@ -295,7 +296,9 @@
             boolean up = entry.phase() == Listed.Phase.UP, opened = !node.open && up;
             node.open = up || goneOpen && node.open && entry.phase() == Listed.Phase.GONE;
             node.listedPrimary = entry.primary();
-            node.startedAt = Math.max(node.startedAt, entry.startedAt() == 0 ? LONG_AGO : entry.startedAt());
+            long start = entry.startedAt() == 0 ? LONG_AGO : entry.startedAt();
+            node.aside &= !opened && start <= node.startedAt; // a new process is judged anew
+            node.startedAt = Math.max(node.startedAt, start);
             if (opened && probesTell) {
                 probe(node);
             }
@@ -704,21 +707,26 @@
         if (!node.aside) {
             node.aside = true;
             node.mayTry = false;
-            node.trialWait = silence();
-            later(now + node.trialWait, null, node, Input.WAKE);
+            awaitTrial(node, silence());
         }
     }
 
+    /** Guards against trials that cost more than the member is worth: each gateway tries it for itself. */
+    private void awaitTrial(Node node, long wait) {
+        node.trialWait = wait;
+        node.trialAt = now + wait;
+        later(node.trialAt, null, node, Input.WAKE);
+    }
+
     private void tryAgain(Node node) {
-        if (node.aside && node.open) {
+        if (node.aside && node.open && now >= node.trialAt) {
             if (!node.reported) { // a single long answer is over by now, and no line is worth it
                 effects.log(node.member.id + " is put aside");
             }
             node.reported = true;
             node.mayTry |= !allowed.probes();
             probe(node);
-            node.trialWait = Math.min(node.trialWait * 2, 4 * brisk);
-            later(now + node.trialWait, null, node, Input.WAKE);
+            awaitTrial(node, Math.min(node.trialWait * 2, LAST_TRIAL * brisk));
         }
     }
 
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -119,6 +119,26 @@
         assertEquals(2, rpc.callOuts.size());
     }
 
+    /** Each gateway tried a hung member again and again, since its probes came back. */
+    @Test void silentMemberWhoseProbesReturnIsTriedLessAndLess() {
+        int early = 0, late = 0;
+        for (int i = 0; i < 300; i++) {
+            CallOut call = gate.last(gate.arrive(ANY, 0));
+            boolean silent = call.member.id.equals("r1");
+            early += silent && i < 100 ? 1 : 0;
+            late += silent && i >= 200 ? 1 : 0;
+            gate.pass(100);
+            gate.probes.forEach(m -> gate.batch(() -> gate.router.probed(m, Outcome.OK, MS, Report.NONE)));
+            gate.probes.clear();
+            gate.out.stream().filter(c -> !c.member.id.equals("r1")).toList()
+                    .forEach(c -> gate.answer(c, Outcome.OK, gate.now, Role.UNKNOWN));
+        }
+        assertTrue(early > 1 && late <= 2, early + " then " + late);
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.UP, false, gate.now)));
+        gate.pass(11_000);
+        assertTrue(gate.arrive(ANY, 0).callOuts.size() > 0);
+    }
+
     /** A member that turns work away at once must not draw the traffic of the others. */
     @Test void memberThatTurnsWorkAwayRests() {
         Rpc first = gate.arrive(ANY, 0);
