--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -297,8 +297,12 @@
             node.open = up || goneOpen && node.open && entry.phase() == Listed.Phase.GONE;
             node.listedPrimary = entry.primary();
             long start = entry.startedAt() == 0 ? LONG_AGO : entry.startedAt();
-            node.aside &= !opened && start <= node.startedAt; // a new process is judged anew
-            node.startedAt = Math.max(node.startedAt, start);
+            if (start > node.startedAt) { // a new process is judged anew
+                node.startedAt = start;
+                node.drawnAt = LONG_AGO;
+                node.aside = false;
+            }
+            node.aside &= !opened;
             if (opened && probesTell) {
                 probe(node);
             }
