A probe waits half as long as the last one found the position old

Cause: with reports 1 to 5 s late every bounded read probed again, and what came back was as old as before; evidence: probes answered in milliseconds, positions in them old at every member at once, so neither the members nor their log apply were the cause. Also covers lagging replicas and groups without a primary. Could harm: the end of such a trouble is seen up to four shortest soft deadlines late.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -559,7 +559,7 @@
             }
             replicaLeft = true;
             boolean old = now - probeAge >= n.position;
-            if (!any && probesTell && old && now - probeAge / 2 >= n.probedAt && usable(n)
+            if (!any && probesTell && old && now - probeGap(n) >= n.probedAt && usable(n)
                     && (oldest == null || n.probedAt < oldest.probedAt)) {
                 oldest = n;
             }
@@ -605,6 +605,12 @@
         return node.position == Report.NO_POSITION ? NEVER : Math.max(now - node.position, floor) + pad;
     }
 
+    /** Guards against probes in vain, as of late reports: the older the last one found the position, the rarer. */
+    private long probeGap(Node node) {
+        long found = node.position == Report.NO_POSITION ? 0 : node.probedAt - node.position;
+        return Math.max(probeAge, Math.min(found, 8 * brisk)) / 2;
+    }
+
     private double chance() {
         crc.reset();
         for (long word : new long[] {seed, counter++}) {
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -226,6 +226,19 @@
         assertTrue(sent > 0 && sent < 20, "sent " + sent);
     }
 
+    /** While reports came late, every read probed again and found what the last one had found. */
+    @Test void lateReportsAreProbedRarely() {
+        Gate late = new Gate(true, false, true, false);
+        late.batch(() -> late.list(Listed.ListKind.FULL, late.up("p", true), late.up("r1", false)));
+        for (int i = 0; i < 50; i++) {
+            late.probes.forEach(m -> late.tellPosition(m.id, 2000));
+            late.probes.clear();
+            late.arrive(BOUNDED, 0);
+            late.pass(100);
+        }
+        assertTrue(late.did.stream().filter(d -> d.endsWith("probe r1")).count() < 10);
+    }
+
     /** One gateway's own calls in flight say little of a member that many share. */
     @Test void memberThatReportsManyCallsInFlightIsDrawnLess() {
         int busy = 0;
