Reads leave a member that reports busy cores where its last answer here is old

Cause: with many gateways no one of them has more than a call or two at a member, so room never shrinks and queues grow that nobody sees; log apply starves and bounded reads go first. The report counts only where the gateway's own answers are old (four shortest soft deadlines), so dense sites go by their answers as before. Also covers members slowed by other work. Could harm where reports stick: any read then probes the member again.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -109,6 +109,7 @@
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION;
         long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
+        double busy; // smoothed: how busy its cores are, as reported
         double load; // smoothed: calls in flight there from all gateways, as reported
         int inFlight, allowance; // allowance: what a cold member may get, as drawn for the window
         long drawnAt = LONG_AGO;
@@ -345,6 +346,7 @@
         Node node = (Node) member.state;
         node.probing = false;
         if (report.inFlight() >= 0 || report.queue() >= 0) {
+            node.busy += (report.busy() - node.busy) / 4;
             node.load += (Math.max(report.inFlight(), report.queue()) - node.load) / 4;
         }
         learn(node, report.position(), report.role(), report.position());
@@ -559,11 +561,11 @@
             }
             replicaLeft = true;
             boolean old = now - probeAge >= n.position;
-            if (!any && probesTell && old && now - probeGap(n) >= n.probedAt && usable(n)
+            if ((!any || crowded(n)) && probesTell && old && now - probeGap(n) >= n.probedAt && usable(n)
                     && (oldest == null || n.probedAt < oldest.probedAt)) {
                 oldest = n;
             }
-            if (!usable(n) || !any && estimate(n) >= bound || job.at(n) && fit.length > 2) {
+            if (!usable(n) || crowded(n) || !any && estimate(n) >= bound || job.at(n) && fit.length > 2) {
                 continue;
             }
             fit[count] = n;
@@ -631,6 +633,11 @@
         return alive(node) && now >= node.restUntil && node.inFlight < node.room && warmEnough(node);
     }
 
+    /** Guards against queues that others fill: a member whose last answer here is old goes by its report. */
+    private boolean crowded(Node node) {
+        return node.busy > 3.0 / 4 && now - 4 * brisk > node.quietSince;
+    }
+
     /**
      * Rule 4: in every window a cold member gets half of the stated multiple of its share of what a member is
      * seen to answer, by this gateway alone; what is sent is no measure: under overload it is more. The part
@@ -659,10 +666,6 @@
         return Math.max(all.below(0.95, brisk), brisk / 4);
     }
 
-    private long usual(Node node) {
-        return node.latency.mean(brisk / 4);
-    }
-
     private void health(Node node, Outcome outcome, long took, Method method) {
         switch (outcome) {
             case OK -> {
@@ -692,7 +695,7 @@
 
     /** Guards against queues: the room at a member shrinks by eighths, once for each usual latency. */
     private void cut(Node node, int eighths) {
-        if (now - usual(node) >= node.cutAt) {
+        if (now - node.latency.mean(brisk / 4) >= node.cutAt) {
             node.cutAt = now;
             node.room = Math.max(1, Math.min(node.room, node.inFlight + 1) * eighths / 8);
         }
@@ -700,7 +703,7 @@
 
     /** Guards against a member that turns work away or fails fast: looking idle it would draw ever more. */
     private void rest(Node node) {
-        node.restUntil = now + Math.min(usual(node) << Math.min(node.strikes++, 6), 4 * brisk);
+        node.restUntil = now + Math.min(node.latency.mean(brisk / 4) << Math.min(node.strikes++, 6), 4 * brisk);
         later(node.restUntil, null, node, Input.OK);
     }
 
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -250,6 +250,18 @@
         assertTrue(busy > 0 && busy < 20, "busy one drawn " + busy);
     }
 
+    /** Where a gateway hears of a member once in seconds, only the report shows that others have filled it. */
+    @Test void memberThatReportsBusyCoresIsLeftWhereItsLastAnswerIsOld() {
+        gate.pass(2000);
+        for (int i = 0; i < 20; i++) {
+            gate.batch(() -> gate.router.probed(gate.member("r1"), Outcome.OK, MS,
+                    new Report(gate.now, Role.REPLICA, 0, 1, 0)));
+        }
+        for (int i = 0; i < 8; i++) {
+            assertEquals("r2", gate.serve(ANY).id);
+        }
+    }
+
     @Test void drainingMemberGetsNothingNew() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.DRAINING, false, 0)));
         for (int i = 0; i < 8; i++) {
