The replica to probe is drawn by the same weight, in the same pass

Cause: a gateway that sees few reads of a group has no fresh position, so the one replica it probed, the one longest unprobed, was where the read went: an even spread over members of uneven strength. Could harm: a slow replica is probed rarely and is then late to be seen as fit.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -544,14 +544,11 @@
         return best;
     }
 
-    /** One replica whose estimate is under the bound, drawn by weight. */
+    /** One replica whose estimate is under the bound, drawn by weight; one of an old position is probed, drawn alike. */
     private Node replica(Job job, long bound) {
         boolean any = bound == NEVER, replicaLeft = false;
-        Node primary = job.group.primary, oldest = null;
-        Node[] fit = new Node[job.group.nodes.size()];
-        double[] weight = new double[fit.length];
-        double sum = 0;
-        int count = 0;
+        Node primary = job.group.primary, pick = null, ask = null;
+        double fitting = 0, asking = 0;
         for (Node n : job.group.nodes) {
             if (n.aside && n.mayTry && n.open && warmEnough(n) && (any || estimate(n) < bound)) {
                 return n; // a silent member comes back by being tried a little
@@ -560,32 +557,24 @@
                 continue;
             }
             replicaLeft = true;
-            boolean old = now - probeAge >= n.position;
-            if ((!any || crowded(n)) && probesTell && old && now - probeGap(n) >= n.probedAt && usable(n)
-                    && (oldest == null || n.probedAt < oldest.probedAt)) {
-                oldest = n;
-            }
-            if (!usable(n) || crowded(n) || !any && estimate(n) >= bound || job.at(n) && fit.length > 2) {
+            if (!usable(n)) {
                 continue;
             }
-            fit[count] = n;
-            weight[count] = 1.0 / (n.latency.mean(all.mean(brisk / 4)) * (Math.max(n.load, n.inFlight) + 1));
-            sum += weight[count++];
-        }
-        if (oldest != null) {
-            probe(oldest);
-        }
-        if (!replicaLeft && primary != null && usable(primary)) {
-            return primary; // no replica is left at all: the primary is the only reader
-        }
-        double at = chance() * sum;
-        for (int i = 0; i < count; i++) {
-            at -= weight[i];
-            if (at < 0 || i == count - 1) {
-                return fit[i];
+            double weight = 1 / (n.latency.mean(all.mean(brisk / 4)) * (Math.max(n.load, n.inFlight) + 1));
+            boolean old = now - probeAge >= n.position && now - probeGap(n) >= n.probedAt;
+            if ((!any || crowded(n)) && probesTell && old && chance() * (asking += weight) < weight) {
+                ask = n;
+            }
+            boolean fit = (any || estimate(n) < bound) && !crowded(n) && !(job.at(n) && job.group.nodes.size() > 2);
+            if (fit && chance() * (fitting += weight) < weight) {
+                pick = n;
             }
         }
-        return null;
+        if (ask != null) {
+            probe(ask);
+        }
+        // where no replica is left at all, the primary is the only reader
+        return !replicaLeft && primary != null && usable(primary) ? primary : pick;
     }
 
     /** The lag that the data may have now; NEVER where any will do. */
