A report after a long gap replaces the smoothed ones

Cause: a gateway that has a member's report once in ten seconds mixed three quarters of what was long past into it. After four shortest soft deadlines without a report the next one counts alone. Also covers members that restart. Could harm: one odd report then counts in full.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -118,7 +118,7 @@
         long restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, reported, probing; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
-        long quietSince, trialWait, trialAt;
+        long reportedAt, quietSince, trialWait, trialAt;
 
         Node(Member member, Group group, long unit) {
             this.member = member;
@@ -346,8 +346,10 @@
         Node node = (Node) member.state;
         node.probing = false;
         if (report.inFlight() >= 0 || report.queue() >= 0) {
-            node.busy += (report.busy() - node.busy) / 4;
-            node.load += (Math.max(report.inFlight(), report.queue()) - node.load) / 4;
+            double part = now - 4 * brisk > node.reportedAt ? 1 : 0.25; // an old one counts no more
+            node.busy += (report.busy() - node.busy) * part;
+            node.load += (Math.max(report.inFlight(), report.queue()) - node.load) * part;
+            node.reportedAt = now;
         }
         learn(node, report.position(), report.role(), report.position());
         node.group.news = true;
