An alarm that rings a little early is set again: no RPC is lost on a quiet gateway

The wake-up was due a part of a microsecond after the alarm rang; the alarm counted as still set, and on a gateway that sees little nothing else came to wake the RPC held. Evidence: no call-out, nothing after it at that gateway. Now an alarm due within a tick is set again, a tick ahead at least. Also covers coarse clocks of any host; costs a timer more now and then.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -271,8 +271,9 @@
             }
         }
         groups.values().forEach(this::wakeHeld);
-        if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now)) {
-            alarmAt = wakes.peek().at;
+        // guards against an alarm that rings early by a coarser clock: one that is due within a tick is set again
+        if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now + tick)) {
+            alarmAt = Math.max(wakes.peek().at, now + tick);
             effects.wakeIn(alarmAt - now);
         }
     }
--- a/src/test/java/reedquay/route/Gate.java
+++ b/src/test/java/reedquay/route/Gate.java
@@ -159,7 +159,7 @@
     }
 
     @Override public void wakeIn(long delay) {
-        alarm = Math.min(alarm, now + delay);
+        alarm = now + delay / 1000 * 1000; // a coarser clock rings a little early
     }
 
     @Override public void subscribe() { }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -262,6 +262,19 @@
         }
     }
 
+    /** An alarm that rang a part of a microsecond early was not set again, and a held RPC got no answer. */
+    @Test void alarmThatRingsEarlyIsSetAgain() {
+        gate.answer(gate.last(gate.arrive(ANY, 0)), Outcome.OK, gate.now, Role.UNKNOWN);
+        gate.now += 333;
+        gate.tellPosition("r1", 5000);
+        gate.tellPosition("r2", 5000);
+        gate.now += 400 * MS;
+        Rpc rpc = new Rpc(77, 1, null, gate.now + 60 * MS + 333, false, 0, null, BOUNDED);
+        gate.batch(() -> gate.router.arrived(rpc));
+        gate.pass(200);
+        assertTrue(rpc.ended);
+    }
+
     @Test void drainingMemberGetsNothingNew() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.DRAINING, false, 0)));
         for (int i = 0; i < 8; i++) {
