--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -695,7 +695,7 @@
 
     /** Guards against a member that turns work away or fails fast: looking idle it would draw ever more. */
     private void rest(Node node) {
-        node.restUntil = now + Math.min(node.latency.mean(brisk / 4) << Math.min(node.strikes++, 6), 4 * brisk);
+        node.restUntil = now + Math.min(node.latency.mean(brisk / 4) << Math.min(node.strikes++, 6), LAST_TRIAL * brisk);
         later(node.restUntil, null, node, Input.OK);
     }
 
