--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -631,9 +631,9 @@
     }
 
     /**
-     * Rule 4: in every window a cold member gets half of the stated multiple of its share of what a member is
-     * seen to answer, by this gateway alone; what is sent is no measure: under overload it is more. The part
-     * below one RPC is drawn anew in each window: one each would be too many where many gateways share it.
+     * Rule 4: in every window a cold member gets three quarters of the stated multiple of its share of what a
+     * member is seen to answer, by this gateway alone; what is sent is no measure: under overload it is more.
+     * Below one RPC it is a chance drawn anew in each window: one each from many gateways would be too many.
      */
     private boolean warmEnough(Node node) {
         while (!node.sends.isEmpty() && node.sends.peekFirst() <= now - coldWindow) {
@@ -646,7 +646,8 @@
             node.drawnAt = windowStart;
             double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
             double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
-            node.allowance = (int) (Math.max(1.0 / gateways, coldMultiple * share * typical / 2) + chance());
+            double budget = Math.max(1.0 / gateways, coldMultiple * share * typical * 3 / 4);
+            node.allowance = budget >= 1 ? (int) budget : chance() < budget ? 1 : 0;
         }
         return node.sends.size() < node.allowance;
     }
