--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -179,7 +179,7 @@
 
     /** What a tenant may still send at its full worth. */
     private static final class Share {
-        double perSecond = Double.MAX_VALUE, most = Double.MAX_VALUE, left; // most: the wider, the thinner the traffic
+        double perSecond = Double.MAX_VALUE, most = Double.MAX_VALUE, left; // most: what may pile up
         long at;
     }
 
@@ -271,7 +271,7 @@
             }
         }
         groups.values().forEach(this::wakeHeld);
-        // guards against an alarm that rings early by a coarser clock: one that is due within a tick is set again
+        // guards against an alarm that rings early by a coarser clock: one due within a tick is set again
         if (!wakes.isEmpty() && (wakes.peek().at < alarmAt || alarmAt <= now + tick)) {
             alarmAt = Math.max(wakes.peek().at, now + tick);
             effects.wakeIn(alarmAt - now);
@@ -547,7 +547,7 @@
         return best;
     }
 
-    /** One replica whose estimate is under the bound, drawn by weight; one of an old position is probed, drawn alike. */
+    /** One replica whose estimate is under the bound, drawn by weight; one of old position is probed. */
     private Node replica(Job job, long bound) {
         boolean any = bound == NEVER, replicaLeft = false;
         Node primary = job.group.primary, pick = null, ask = null;
@@ -568,7 +568,8 @@
             if ((!any || crowded(n)) && probesTell && old && chance() * (asking += weight) < weight) {
                 ask = n;
             }
-            boolean fit = (any || estimate(n) < bound) && !crowded(n) && !(job.at(n) && job.group.nodes.size() > 2);
+            boolean again = job.at(n) && job.group.nodes.size() > 2;
+            boolean fit = (any || estimate(n) < bound) && !crowded(n) && !again;
             if (fit && chance() * (fitting += weight) < weight) {
                 pick = n;
             }
@@ -599,7 +600,7 @@
         return node.position == Report.NO_POSITION ? NEVER : Math.max(now - node.position, floor) + pad;
     }
 
-    /** Guards against probes in vain, as of late reports: the older the last one found the position, the rarer. */
+    /** Guards against probes in vain, as of late reports: the older the position found last, the rarer. */
     private long probeGap(Node node) {
         long found = node.position == Report.NO_POSITION ? 0 : node.probedAt - node.position;
         return Math.max(probeAge, Math.min(found, 8 * brisk)) / 2;
@@ -696,7 +697,8 @@
 
     /** Guards against a member that turns work away or fails fast: looking idle it would draw ever more. */
     private void rest(Node node) {
-        node.restUntil = now + Math.min(node.latency.mean(brisk / 4) << Math.min(node.strikes++, 6), LAST_TRIAL * brisk);
+        long wait = node.latency.mean(brisk / 4) << Math.min(node.strikes++, 6);
+        node.restUntil = now + Math.min(wait, LAST_TRIAL * brisk);
         later(node.restUntil, null, node, Input.OK);
     }
 
