--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -472,7 +472,7 @@
         job.rpc.callOuts.stream().filter(c -> !c.ended && allowed.cancel()).forEach(effects::cancel);
     }
 
-    /** Waits for a member: a read for half its soft deadline, others while an answer is worth something. */
+    /** Waits for a member: a read for a quarter of its soft deadline, others while an answer has worth. */
     private void hold(Job job) {
         Method m = job.rpc.method;
         long end = job.read ? job.arrived + m.softDeadline() / 4
