--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -90,7 +90,7 @@
         final List<Node> nodes = new ArrayList<>();
         final ArrayDeque<Job> held = new ArrayDeque<>();
         Node primary; // the last known one
-        long pressedUntil = LONG_AGO; // an RPC had to be held a short while ago
+        long pressedUntil = LONG_AGO, pressedSince; // an RPC had to be held a short while ago
         boolean news; // held RPCs are worth another look
 
         Group(int number) {
@@ -480,8 +480,11 @@
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
-        if (now - 8 * brisk >= job.group.pressedUntil) {
-            effects.log("group " + job.group.number + ": RPCs have to be held, now under pressure");
+        if (now >= job.group.pressedUntil) {
+            job.group.pressedSince = now;
+        } else if (now - 8 * brisk >= job.group.pressedSince) { // a line only where it lasts
+            effects.log("group " + job.group.number + ": RPCs have to be held, under pressure for long");
+            job.group.pressedSince = NEVER;
         }
         job.group.pressedUntil = now + brisk;
         job.group.held.addLast(job);
