--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -731,10 +731,10 @@
 
     private void tryAgain(Node node) {
         if (node.aside && node.open && now >= node.trialAt) {
-            if (!node.reported) { // a single long answer is over by now, and no line is worth it
+            if (!node.reported && node.trialWait >= 4 * brisk) { // a line only where it lasts
                 effects.log(node.member.id + " is put aside");
+                node.reported = true;
             }
-            node.reported = true;
             node.mayTry |= !allowed.probes();
             probe(node);
             awaitTrial(node, Math.min(node.trialWait * 2, LAST_TRIAL * brisk));
