--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -101,7 +101,7 @@
     /** A member as this gateway sees it. */
     private static final class Node {
         final Member member;
-        final Group group;
+        Group group = new Group(-1); // until listed
         final Latency latency;
         final Latency strain; // latencies, each as if its soft deadline were the shortest
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
@@ -120,9 +120,8 @@
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long reportedAt, quietSince, trialWait, trialAt;
 
-        Node(Member member, Group group, long unit) {
+        Node(Member member, long unit) {
             this.member = member;
-            this.group = group;
             this.latency = new Latency(unit);
             this.strain = new Latency(unit);
         }
@@ -288,12 +287,18 @@
         }
         for (Listed entry : entries) {
             Node node = (Node) entry.member().state;
+            Group group = groups.computeIfAbsent(entry.group(), Group::new);
             if (node == null) {
-                Member member = entry.member();
-                node = new Node(member, groups.computeIfAbsent(entry.group(), Group::new), brisk / 16);
-                member.state = node;
+                node = new Node(entry.member(), brisk / 16);
+                entry.member().state = node;
                 nodes.add(node);
-                node.group.nodes.add(node);
+            }
+            if (node.group != group) { // new, or moved: what was learnt is of other data
+                node.group.nodes.remove(node);
+                node.group = group;
+                group.nodes.add(node);
+                node.position = Report.NO_POSITION;
+                node.role = Role.UNKNOWN;
             }
             boolean up = entry.phase() == Listed.Phase.UP, opened = !node.open && up;
             node.open = up || goneOpen && node.open && entry.phase() == Listed.Phase.GONE;
@@ -686,7 +691,6 @@
             case MISS -> answers(node);
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION -> putAside(node);
-            default -> { }
         }
     }
 
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -249,6 +249,14 @@
         }
     }
 
+    @Test void memberListedInAnotherGroupServesThatOneOnly() {
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES,
+                new Listed(gate.member("r1"), "here", "std", 2, Listed.Phase.UP, false, 1, 0)));
+        for (int i = 0; i < 8; i++) {
+            assertEquals("r2", gate.serve(ANY).id);
+        }
+    }
+
     @Test void drainingMemberGetsNothingNew() {
         gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.DRAINING, false, 0)));
         for (int i = 0; i < 8; i++) {
