--- a/src/main/java/reedquay/core/CallOut.java
+++ b/src/main/java/reedquay/core/CallOut.java
@@ -4,8 +4,11 @@
 public final class CallOut {
     public final Rpc rpc;
     public final Member member;
-    public final long sentAt;
+    /** When it went; set anew where it had to wait for its connection. */
+    public long sentAt;
     public boolean ended;
+    /** What the front keeps about it; nobody else reads it. */
+    public Object front;
 
     public CallOut(Rpc rpc, Member member, long sentAt) {
         this.rpc = rpc;
--- a/src/main/java/reedquay/core/Decider.java
+++ b/src/main/java/reedquay/core/Decider.java
@@ -14,6 +14,9 @@
     void done(CallOut callOut, Outcome outcome, long took, boolean ended, long position, Role role,
             Report report);
 
+    /** The connection that a call-out had to wait for is there: answered by go or cancel. */
+    void ready(CallOut callOut);
+
     void probed(Member member, Outcome outcome, long took, Report report);
 
     void clientGone(Rpc rpc);
--- a/src/main/java/reedquay/core/Effects.java
+++ b/src/main/java/reedquay/core/Effects.java
@@ -5,6 +5,9 @@
     /** The call-out has been added to its RPC's list; limit counts from now. */
     void callOut(CallOut callOut, long limit);
 
+    /** What ready asked about goes out now. */
+    void go(CallOut callOut);
+
     void cancel(CallOut callOut);
 
     /** after: when to come back, 0 for no advice. */
--- a/src/main/java/reedquay/core/Member.java
+++ b/src/main/java/reedquay/core/Member.java
@@ -5,6 +5,8 @@
     public final String id;
     /** What the decisions keep about it; nobody else reads it. */
     public Object state;
+    /** What the front keeps about it; nobody else reads it. */
+    public Object front;
 
     public Member(String id) {
         this.id = id;
--- a/src/main/java/reedquay/core/Rpc.java
+++ b/src/main/java/reedquay/core/Rpc.java
@@ -20,6 +20,8 @@
     public boolean ended;
     /** What the decisions keep about it; nobody else reads it. */
     public Object state;
+    /** What the front keeps about it; nobody else reads it. */
+    public Object front;
 
     public Rpc(long id, int group, String session, long due, boolean retry, long tokenAge, String tenant,
             Method method) {
--- a/src/main/java/reedquay/sim/Pairs.java
+++ b/src/main/java/reedquay/core/SettingsReader.java
@@ -1,30 +1,19 @@
-package reedquay.sim;
+package reedquay.core;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import reedquay.core.Method;
-import reedquay.core.Settings;
-
-/** The settings of a SPAWN line; keys it does not know are passed over. */
-final class Pairs {
-    private final Map<String, String> values = new HashMap<>();
-    private final Fields line;
-
-    Pairs(Fields line) {
-        this.line = line;
-        while (line.more()) {
-            String pair = line.optional("a pair path=value");
-            int eq = pair == null ? -1 : pair.indexOf('=');
-            if (eq < 0) {
-                throw line.bad("a pair path=value");
-            }
-            values.put(pair.substring(0, eq), pair.substring(eq + 1));
-        }
+
+/** Reads the settings of any front from pairs of path and value; paths it does not know are passed over. */
+public final class SettingsReader {
+    private final Map<String, String> values;
+
+    public SettingsReader(Map<String, String> values) {
+        this.values = values;
     }
 
-    Settings settings(long seed) {
+    /** Throws IllegalArgumentException where a value is not of its kind. */
+    public Settings settings(long seed) {
         List<Method> methods = new ArrayList<>();
         String[] needs = list("Domain.ClassRead");
         String[] ages = list("Domain.MaxAge");
@@ -42,7 +31,7 @@
                     number("Tenants." + i + ".QuotaPerS", Double.MAX_VALUE)));
         }
         String how = text("Report.How", "silent");
-        boolean x0 = List.of(reportNames()).contains("x0");
+        boolean x0 = List.of(list("Report.Names")).contains("x0");
         return new Settings(seed, text("MyZone", ""), (int) number("Index", 0),
                 Math.max(1, (int) number("PeersTotal", 1)), time("Tick", 1), methods, tenants,
                 new Settings.Allowed(flag("Allowed.Probes"), flag("Allowed.Peers"), flag("Allowed.Cancel"),
@@ -62,13 +51,14 @@
                         number("Deductions.LateFail", 0)));
     }
 
-    String[] reportNames() {
-        return list("Report.Names");
+    /** Reads load reports and positions, which count from the zero that the settings name. */
+    public Reports reports() {
+        return new Reports(list("Report.Names"), time("Domain.CountedFrom", 0));
     }
 
-    /** The clock time from which positions count. */
-    long zero() {
-        return time("Domain.CountedFrom", 0);
+    /** How long a connection may be idle before the member closes it. */
+    public long keepalive() {
+        return time("Allowed.Keepalive", 0);
     }
 
     private static Method.Need need(String word) {
@@ -115,7 +105,7 @@
         try {
             return value == null ? absent : Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw line.bad("a number for " + path);
+            throw bad("a number for " + path);
         }
     }
 
@@ -125,6 +115,14 @@
     }
 
     private long millis(String value) {
-        return line.scaled(value, 6, "a time in milliseconds instead of " + value);
+        try {
+            return Decimal.scaled(value, 6);
+        } catch (NumberFormatException | ArithmeticException e) {
+            throw bad("a time in milliseconds instead of " + value);
+        }
+    }
+
+    private static IllegalArgumentException bad(String expected) {
+        return new IllegalArgumentException("expected " + expected);
     }
 }
--- /dev/null
+++ b/src/main/java/reedquay/net/Counters.java
@@ -0,0 +1,45 @@
+package reedquay.net;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+
+/** Counts by name what a gateway takes in, sends and answers; used on its event loop alone. */
+public final class Counters {
+    private final Map<String, long[]> counts = new TreeMap<>();
+    private final Map<String, LongSupplier> gauges = new TreeMap<>();
+
+    void add(String name) {
+        add(name, 1);
+    }
+
+    void add(String name, long by) {
+        counts.computeIfAbsent(name, n -> new long[1])[0] += by;
+    }
+
+    void most(String name, long value) {
+        long[] count = counts.computeIfAbsent(name, n -> new long[1]);
+        count[0] = Math.max(count[0], value);
+    }
+
+    /** What is read when the counters are asked for. */
+    void gauge(String name, LongSupplier value) {
+        gauges.put(name, value);
+    }
+
+    /** What must hold: asserted in debug builds, counted in release builds. */
+    void must(boolean holds, String what) {
+        assert holds : what;
+        if (!holds) {
+            add("broken." + what);
+        }
+    }
+
+    /** All of them now, in the order of their names. */
+    public Map<String, Long> read() {
+        Map<String, Long> all = new TreeMap<>();
+        counts.forEach((name, count) -> all.put(name, count[0]));
+        gauges.forEach((name, value) -> all.put(name, value.getAsLong()));
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -0,0 +1,218 @@
+package reedquay.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import reedquay.core.Method;
+import reedquay.pg.FrameDecoder;
+import reedquay.route.Router;
+
+/** A gateway on sockets: built from a configuration, started, stopped. All of it runs on one event loop. */
+public final class Gateway {
+    private static final int BACKLOG = 1024;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private final Configuration configuration;
+    private final Clock clock = new Clock();
+    private final Counters counters = new Counters();
+    private final Limits limits;
+    private final Door door;
+    private final Discovery discovery;
+    private final long idleFor;
+    private final long sweepEvery;
+    private final Set<ClientSession> sessions = new LinkedHashSet<>();
+    private final Set<ClientSession> free = new LinkedHashSet<>(); // the longest free one first
+    private final List<Runnable> waitingForReady = new ArrayList<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final long startedAt = clock.now();
+    private boolean ready;
+    private boolean stopping;
+    private boolean listening;
+    private Channel listener;
+
+    /** Throws IllegalArgumentException where the settings are unfit. */
+    public Gateway(Configuration configuration) {
+        this.configuration = configuration;
+        limits = new Limits(configuration.sockets());
+        int connectMillis = 60_000; // never reached: the pool's sweep ends what does not come up in time
+        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
+        door = new Door(loop, bootstrap, clock, limits, counters, configuration.settings(), configuration.seed(),
+                Router::new);
+        discovery = new Discovery(door, configuration.discovery(), bootstrap, loop);
+        long keepalive = configuration.settings().keepalive();
+        idleFor = keepalive > 0 ? keepalive / 2 : Long.MAX_VALUE / 2;
+        sweepEvery = Math.max(1_000_000, door.settings().allowed().connectTimeout() / 8);
+        counters.gauge("client.open", limits::clientsOpen);
+        counters.gauge("member.open", limits::membersOpen);
+    }
+
+    /** Listens and follows discovery; the future is the address that clients connect to. */
+    public CompletableFuture<InetSocketAddress> start() {
+        CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
+        loop.execute(() -> {
+            if (configuration.known() != null) {
+                discovery.remembered(configuration.known());
+            }
+            discovery.open();
+            sweep();
+            new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(FrameDecoder.ofClient(Limits.LONGEST_MESSAGE),
+                                    new ClientSession(Gateway.this, door));
+                        }
+                    })
+                    .bind(configuration.listen()).addListener((io.netty.channel.ChannelFuture f) -> {
+                        if (f.isSuccess()) {
+                            listener = f.channel();
+                            listening = true;
+                            bound.complete((InetSocketAddress) listener.localAddress());
+                        } else {
+                            bound.completeExceptionally(f.cause());
+                            finish();
+                        }
+                    });
+        });
+        return bound;
+    }
+
+    private void sweep() {
+        if (stopped.isDone()) {
+            return;
+        }
+        long now = clock.now();
+        clock.follow(sweepEvery / 1000);
+        door.sweep(idleFor);
+        discovery.sweep(now);
+        checkReady(now);
+        loop.schedule(this::sweep, sweepEvery, TimeUnit.NANOSECONDS);
+    }
+
+    private void checkReady(long now) {
+        boolean late = now - startedAt >= 8 * door.settings().allowed().connectTimeout();
+        if (!ready && (discovery.told() && door.probesOut() == 0 || late)) {
+            ready = true;
+            waitingForReady.forEach(Runnable::run);
+            waitingForReady.clear();
+        }
+    }
+
+    /** Runs it at once, or when this gateway has heard enough to decide. */
+    void whenReady(Runnable then) {
+        if (ready) {
+            then.run();
+        } else {
+            waitingForReady.add(then);
+        }
+    }
+
+    // ---- Sessions ----
+
+    void opened(ClientSession session) {
+        sessions.add(session);
+        if (limits.clientOpened() && !free.isEmpty()) { // between RPCs a session may be closed
+            counters.add("client.closed.room");
+            free.iterator().next().end();
+        }
+        accepting();
+    }
+
+    void closed(ClientSession session) {
+        sessions.remove(session);
+        free.remove(session);
+        limits.clientClosed();
+        accepting();
+        if (stopping) {
+            checkStopped();
+        }
+    }
+
+    void free(ClientSession session, boolean isFree) {
+        free.remove(session);
+        if (isFree && sessions.contains(session)) {
+            free.add(session);
+        }
+    }
+
+    /** Guards the descriptors: what the limit leaves no room for waits in the backlog. */
+    private void accepting() {
+        if (listener != null && listening) {
+            listener.config().setAutoRead(limits.clientsOpen() < limits.clients);
+        }
+    }
+
+    // ---- Shutdown ----
+
+    /** Goes on for as long as clients still come, then finishes what it has taken; done when all is closed. */
+    public CompletableFuture<Void> stop() {
+        loop.execute(() -> {
+            if (!stopping) {
+                loop.schedule(this::drain, Shutdown.STILL_COMING, TimeUnit.NANOSECONDS);
+                long longest = door.settings().methods().stream().mapToLong(Method::deadline).max().orElse(0);
+                loop.schedule(this::finish, Shutdown.longest(longest), TimeUnit.NANOSECONDS);
+            }
+        });
+        return stopped;
+    }
+
+    private void drain() {
+        stopping = true;
+        listening = false;
+        if (listener != null) {
+            listener.close();
+        }
+        new ArrayList<>(sessions).forEach(ClientSession::drain);
+        checkStopped();
+    }
+
+    private void checkStopped() {
+        if (sessions.isEmpty() && door.inHand() == 0) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        if (stopped.isDone()) {
+            return;
+        }
+        discovery.close();
+        door.close();
+        if (listener != null) {
+            listener.close();
+        }
+        new ArrayList<>(sessions).forEach(ClientSession::end);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        stopped.complete(null);
+    }
+
+    /** What was taken in, sent and answered so far. */
+    public CompletableFuture<Map<String, Long>> counters() {
+        CompletableFuture<Map<String, Long>> all = new CompletableFuture<>();
+        if (loop.isShuttingDown()) {
+            all.complete(counters.read());
+        } else {
+            loop.execute(() -> all.complete(counters.read()));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/net/Pool.java
@@ -0,0 +1,158 @@
+package reedquay.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import reedquay.core.Member;
+import reedquay.core.Outcome;
+import reedquay.pg.FrameDecoder;
+
+/** The connections to one member. The one used last goes out first, so that the others fall idle. */
+final class Pool {
+    final Member member;
+    private final Door door;
+    private final Bootstrap bootstrap;
+    private InetSocketAddress address;
+    private long startedAt;
+    private final Set<MemberConnection> all = new LinkedHashSet<>();
+    private final ArrayDeque<MemberConnection> idle = new ArrayDeque<>();
+    private final ArrayDeque<Send> waiting = new ArrayDeque<>();
+    private int opening;
+
+    Pool(Door door, Member member, Bootstrap bootstrap) {
+        this.door = door;
+        this.member = member;
+        this.bootstrap = bootstrap;
+    }
+
+    /** What the list says of the member's process; connections to an earlier one are of no use. */
+    void located(InetSocketAddress where, long started) {
+        if (!where.equals(address) || started > startedAt) {
+            dropIdle("moved");
+        }
+        address = where;
+        startedAt = Math.max(startedAt, started);
+    }
+
+    /** Sends at once on an idle connection, else when the next one is ready. */
+    void submit(Send send) {
+        MemberConnection connection = idle.pollFirst();
+        if (connection != null) {
+            door.counters.add("member.reused");
+            connection.write(send);
+            return;
+        }
+        waiting.addLast(send);
+        if (opening < waiting.size() && !open()) {
+            waiting.remove(send);
+            door.counters.add("member.nodescriptor");
+            door.ended(send, Outcome.NEVER_SENT);
+        }
+    }
+
+    private boolean open() {
+        if (!door.limits.mayOpenMember() && !door.closeIdle()) {
+            return false;
+        }
+        door.limits.memberOpened();
+        door.counters.add("member.opened");
+        opening++;
+        MemberConnection connection = new MemberConnection(door, this, door.clock.now());
+        all.add(connection);
+        ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(FrameDecoder.ofServer(Limits.LONGEST_MESSAGE), connection);
+            }
+        }).connect(address);
+        up.addListener(f -> {
+            if (!f.isSuccess()) {
+                connection.close();
+            }
+        });
+        return true;
+    }
+
+    void cameUp() {
+        opening--;
+    }
+
+    /** A connection has come up or has become free. */
+    void ready(MemberConnection connection) {
+        Send next = waiting.pollFirst();
+        if (next == null) {
+            idle.addFirst(connection);
+        } else if (next.callOut == null) {
+            connection.write(next);
+        } else {
+            connection.state = MemberConnection.State.RESERVED;
+            connection.send = next;
+            next.connection = connection;
+            door.input(d -> d.ready(next.callOut));
+        }
+    }
+
+    void closed(MemberConnection connection, MemberConnection.State before, Outcome whyNot) {
+        all.remove(connection);
+        idle.remove(connection);
+        if (before == MemberConnection.State.OPENING) {
+            opening--;
+            door.counters.add("member.unopened");
+            if (waiting.size() > opening) {
+                door.ended(waiting.pollFirst(), whyNot);
+            }
+        }
+    }
+
+    /** Takes back what has not been written; its connection serves another. */
+    void withdraw(Send send) {
+        MemberConnection reserved = send.connection;
+        if (reserved == null) {
+            waiting.remove(send);
+            return;
+        }
+        send.connection = null;
+        reserved.send = null;
+        reserved.state = MemberConnection.State.IDLE;
+        ready(reserved);
+    }
+
+    /** Closes the connection that has been idle longest, as long as it is one since before the given time. */
+    boolean closeOldest(long before, String why) {
+        MemberConnection oldest = idle.peekLast();
+        if (oldest == null || oldest.idleSince >= before) {
+            return false;
+        }
+        door.counters.add("member.closed." + why);
+        oldest.close();
+        return true;
+    }
+
+    void dropIdle(String why) {
+        while (closeOldest(Long.MAX_VALUE, why)) { }
+    }
+
+    /** Ends what has taken too long: to come up, to answer, or without work. */
+    void sweep(long now, long connectTimeout, long idleFor) {
+        while (closeOldest(now - idleFor, "idle")) { }
+        for (MemberConnection c : new ArrayList<>(all)) {
+            if (c.state == MemberConnection.State.OPENING && now - c.openedAt >= connectTimeout) {
+                c.close();
+            } else if (c.state == MemberConnection.State.BUSY && now >= c.send.until) {
+                Send late = c.send;
+                door.counters.add("member.closed.timeout");
+                c.giveUp();
+                door.ended(late, Outcome.TIMED_OUT);
+            }
+        }
+    }
+
+    void closeAll() {
+        new ArrayList<>(all).forEach(MemberConnection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/net/Shutdown.java
@@ -0,0 +1,17 @@
+package reedquay.net;
+
+/** The times of an orderly stop, from the platform's page. */
+final class Shutdown {
+    /** After a stop is asked for, clients go on coming for up to 0.4 s; a little more is waited. */
+    static final long STILL_COMING = 450_000_000;
+    /** What arrives up to 0.7 s after it still counts; the longest deadline counts as 3 s at least. */
+    private static final long COUNTED = 700_000_000;
+    private static final long LONGEST_AT_LEAST = 3_000_000_000L;
+    private static final long MARGIN = 100_000_000; // for printing and leaving before the kill
+
+    private Shutdown() { }
+
+    static long longest(long longestDeadline) {
+        return Math.max(longestDeadline, LONGEST_AT_LEAST) + COUNTED - MARGIN;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/pg/Frame.java
@@ -0,0 +1,61 @@
+package reedquay.pg;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.DefaultByteBufHolder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+
+/** One message of protocol version 3 as the bytes that came; content() is all of it, type and length too. */
+public final class Frame extends DefaultByteBufHolder {
+    /** The type of a message that has none: the first of a connection. */
+    public static final byte FIRST = 0;
+    public static final int VERSION_3 = 196608, SSL = 80877103, GSS = 80877104, CANCEL = 80877102;
+    private static final int HEAD = 5;
+
+    public final byte type;
+
+    public Frame(byte type, ByteBuf whole) {
+        super(whole);
+        this.type = type;
+    }
+
+    @Override public Frame replace(ByteBuf content) {
+        return new Frame(type, content);
+    }
+
+    /** Where the message's own fields begin. */
+    public int body() {
+        return content().readerIndex() + (type == FIRST ? 4 : HEAD);
+    }
+
+    public int bodyLength() {
+        return content().readableBytes() - (type == FIRST ? 4 : HEAD);
+    }
+
+    /** The request code or protocol version of a first message; 0 where it is too short for one. */
+    public int code() {
+        return bodyLength() < 4 ? 0 : content().getInt(body());
+    }
+
+    /** Text from the given place of the body up to its zero byte, or up to the end. */
+    public String text(int at) {
+        int from = body() + at;
+        int end = content().writerIndex();
+        int zero = from >= end ? -1 : content().indexOf(from, end, (byte) 0);
+        return from >= end ? "" : content().toString(from, (zero < 0 ? end : zero) - from, StandardCharsets.UTF_8);
+    }
+
+    /** The fields of an ErrorResponse or notice by their one-letter names. */
+    public Map<Character, String> fields() {
+        Map<Character, String> fields = new HashMap<>();
+        int at = 0;
+        while (at < bodyLength() && content().getByte(body() + at) != 0) {
+            char name = (char) content().getByte(body() + at);
+            String value = text(at + 1);
+            fields.put(name, value);
+            at += 2 + value.getBytes(StandardCharsets.UTF_8).length;
+        }
+        return fields;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedquay/pg/FrameDecoder.java
@@ -0,0 +1,62 @@
+package reedquay.pg;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.util.List;
+
+/** Cuts a stream of protocol version 3 into its messages, in either direction. */
+public final class FrameDecoder extends ByteToMessageDecoder {
+    private static final int FIRST_LIMIT = 10_000; // what the protocol's own servers allow a first message
+
+    private final int limit;
+    private final String types;
+    private boolean first;
+    private boolean broken;
+
+    /** first: the stream begins with messages that have no type; types: those that may come after that. */
+    public FrameDecoder(boolean first, String types, int limit) {
+        this.first = first;
+        this.types = types;
+        this.limit = limit;
+    }
+
+    /** A stream from a client. */
+    public static FrameDecoder ofClient(int limit) {
+        return new FrameDecoder(true, "QXPBDECHSFpdcf", limit);
+    }
+
+    /** A stream from a server. */
+    public static FrameDecoder ofServer(int limit) {
+        return new FrameDecoder(false, "RSKZTDCEINA123nstvGHWdcV", limit);
+    }
+
+    @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (broken) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int head = first ? 0 : 1;
+        if (in.readableBytes() < head + 4) {
+            return;
+        }
+        byte type = first ? Frame.FIRST : in.getByte(in.readerIndex());
+        int length = in.getInt(in.readerIndex() + head);
+        if (!first && types.indexOf(type) < 0) {
+            broken = true;
+            throw new CorruptedFrameException("no message has the type " + (type & 0xff));
+        }
+        if (length < (first ? 8 : 4) || length > (first ? FIRST_LIMIT : limit)) {
+            broken = true;
+            throw new CorruptedFrameException("a message cannot have the length " + length);
+        }
+        if (in.readableBytes() < head + length) {
+            return;
+        }
+        Frame frame = new Frame(type, in.readRetainedSlice(head + length));
+        // after a request for encryption the real first message is still to come
+        first &= frame.code() == Frame.SSL || frame.code() == Frame.GSS;
+        out.add(frame);
+    }
+}
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -17,7 +17,7 @@
 public final class Router implements Decider {
     enum State { NEW, HELD, OUT, ENDED }
 
-    enum Input { ARRIVE, WAKE, EXPIRE, SLOW, OK, FAILED, DUE, LEFT }
+    enum Input { ARRIVE, WAKE, EXPIRE, READY, SLOW, OK, FAILED, DUE, LEFT }
 
     private record Row(State state, Input input, BiPredicate<Router, Job> when, State next,
             BiConsumer<Router, Job> effect) { }
@@ -38,6 +38,9 @@
         new Row(State.HELD, Input.EXPIRE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
+        new Row(State.OUT, Input.READY, Router::stillFits, State.OUT, Router::go),
+        new Row(State.OUT, Input.READY, ALWAYS, State.OUT, Router::drop),
+        new Row(State.ENDED, Input.READY, ALWAYS, State.ENDED, Router::drop),
         new Row(State.OUT, Input.SLOW, Router::silentAndMayMove, State.OUT, Router::move),
         new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
         new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
@@ -69,6 +72,7 @@
         final boolean read; // one that a replica may serve
         State state = State.NEW;
         Node target;
+        CallOut ready; // its connection has come up
         int out, further, misses;
         long mayHaveRunAt = NEVER; // when the first call-out that may have run was sent
 
@@ -327,6 +331,13 @@
         }
     }
 
+    @Override public void ready(CallOut call) {
+        Job job = (Job) call.rpc.state;
+        job.ready = call;
+        step(job, Input.READY);
+        job.ready = null;
+    }
+
     @Override public void done(CallOut call, Outcome outcome, long took, boolean ended, long position,
             Role role, Report report) {
         Node node = (Node) call.member.state;
@@ -424,7 +435,7 @@
     private boolean mayRepeat(Job job) {
         long first = job.mayHaveRunAt;
         for (CallOut c : job.rpc.callOuts) {
-            first = c.ended ? first : Math.min(first, c.sentAt);
+            first = c.ended || c == job.ready ? first : Math.min(first, c.sentAt);
         }
         return first == NEVER || switch (job.rpc.method.effect()) {
             case IDEMPOTENT -> true;
@@ -454,6 +465,26 @@
         }
     }
 
+    /** Guards the rules over a wait for a connection: age, drain, start and window are judged once more. */
+    private boolean stillFits(Job job) {
+        Node node = (Node) job.ready.member.state;
+        Node primary = job.group.primary;
+        node.sends.removeLastOccurrence(job.ready.sentAt);
+        boolean fit = node == primary || (job.read ? membersCheck || bound(job) == NEVER
+                || estimate(node) < bound(job) : primary == null);
+        return fit && alive(node) && node.group == job.group && warmEnough(node) && mayRepeat(job);
+    }
+
+    private void go(Job job) {
+        job.ready.sentAt = now;
+        ((Node) job.ready.member.state).sends.addLast(now);
+        effects.go(job.ready);
+    }
+
+    private void drop(Job job) {
+        effects.cancel(job.ready);
+    }
+
     private void send(Job job) {
         Node node = job.target;
         CallOut call = new CallOut(job.rpc, node.member, now);
--- a/src/main/java/reedquay/sim/Fields.java
+++ b/src/main/java/reedquay/sim/Fields.java
@@ -1,7 +1,8 @@
 package reedquay.sim;
 
-import java.math.BigDecimal;
-import java.math.RoundingMode;
+import java.util.HashMap;
+import java.util.Map;
+import reedquay.core.Decimal;
 
 /** The values of one line, taken in order; every complaint names the line and what was expected. */
 final class Fields {
@@ -18,8 +19,18 @@
         return word("a message name");
     }
 
-    boolean more() {
-        return next < parts.length;
+    /** All that is left of the line, as pairs path=value. */
+    Map<String, String> pairs() {
+        Map<String, String> values = new HashMap<>();
+        while (next < parts.length) {
+            String pair = optional("a pair path=value");
+            int eq = pair == null ? -1 : pair.indexOf('=');
+            if (eq < 0) {
+                throw bad("a pair path=value");
+            }
+            values.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+        return values;
     }
 
     /** Null where the value is absent. */
@@ -87,41 +98,12 @@
 
     long scaled(String part, int digits, String expected) {
         try {
-            return scaled(part, digits);
+            return Decimal.scaled(part, digits);
         } catch (NumberFormatException | ArithmeticException e) {
             throw bad(expected);
         }
     }
 
-    /** A decimal text as a whole number of its 10^-digits parts, without a detour through doubles. */
-    static long scaled(String text, int digits) {
-        int dot = text.indexOf('.');
-        int end = text.length();
-        if (text.indexOf('e') >= 0 || text.indexOf('E') >= 0 || end > 17
-                || dot >= 0 && end - dot - 1 > digits) {
-            BigDecimal exact = new BigDecimal(text).movePointRight(digits);
-            return exact.setScale(0, RoundingMode.DOWN).longValueExact();
-        }
-        boolean negative = text.charAt(0) == '-';
-        long value = 0;
-        int fraction = 0;
-        for (int i = negative ? 1 : 0; i < end; i++) {
-            char c = text.charAt(i);
-            if (c == '.' && i == dot) {
-                continue;
-            }
-            if (c < '0' || c > '9') {
-                throw new NumberFormatException(text);
-            }
-            value = value * 10 + (c - '0');
-            fraction += dot >= 0 && i > dot ? 1 : 0;
-        }
-        for (int i = fraction; i < digits; i++) {
-            value = Math.multiplyExact(value, 10);
-        }
-        return negative ? -value : value;
-    }
-
     /** Whole nanoseconds as milliseconds with their exact fraction. */
     static void appendMillis(StringBuilder out, long nanos) {
         if (nanos < 0) {
--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -15,9 +15,11 @@
 import reedquay.core.Method;
 import reedquay.core.Outcome;
 import reedquay.core.Report;
+import reedquay.core.Reports;
 import reedquay.core.Role;
 import reedquay.core.Rpc;
 import reedquay.core.Settings;
+import reedquay.core.SettingsReader;
 
 /** One instance: ids become objects here, and the decisions' effects become lines. */
 final class Gateway implements Effects {
@@ -28,16 +30,21 @@
     private final Map<Long, Rpc> rpcs = new HashMap<>();
     private final Set<Integer> groups = new HashSet<>();
     private final Set<String> complained = new HashSet<>();
-    private final String[] reportNames;
+    private final Reports reports;
     private final boolean progressTold;
-    private final long zero;
     private final StringBuilder out = new StringBuilder();
 
-    Gateway(long id, long seed, Pairs pairs, SimHost.Maker maker) {
+    /** The line's rest is the settings. */
+    Gateway(long id, long seed, Fields line, SimHost.Maker maker) {
         this.id = id;
-        Settings settings = pairs.settings(seed);
-        reportNames = pairs.reportNames();
-        zero = pairs.zero();
+        SettingsReader reader = new SettingsReader(line.pairs());
+        Settings settings;
+        try {
+            settings = reader.settings(seed);
+            reports = reader.reports();
+        } catch (IllegalArgumentException e) {
+            throw line.bad(e.getMessage());
+        }
         progressTold = settings.positions().inAnswers();
         settings.methods().forEach(m -> methods.put(m.name(), m));
         decider = maker.make(settings, this);
@@ -127,11 +134,8 @@
         CallOut callOut = rpc.callOuts.get(attempt);
         callOut.ended = true;
         rpc.ended |= ended;
-        long millis = stamp >> 2;
-        if (outcome == Outcome.OK && rpc.method.need() == Method.Need.WRITE) {
-            millis--; // a commit is rounded up, a position down
-        }
-        long position = progressTold && stamp != 0 ? zero + millis * 1_000_000 : Report.NO_POSITION;
+        boolean commit = outcome == Outcome.OK && rpc.method.need() == Method.Need.WRITE;
+        long position = progressTold && stamp != 0 ? reports.position(stamp >> 2, commit) : Report.NO_POSITION;
         Role role = (stamp & 3) == 1 ? Role.PRIMARY : (stamp & 3) == 2 ? Role.REPLICA : Role.UNKNOWN;
         decider.done(callOut, outcome, took, ended, position, role, report);
         forget(rpc);
@@ -206,30 +210,11 @@
         if (row == null) {
             return Report.NONE;
         }
-        String[] values = row.split(",", -1);
-        if (values.length > reportNames.length) {
-            throw line.bad("no more report values than there are names");
+        try {
+            return reports.inOrder(row.split(",", -1));
+        } catch (NumberFormatException | ArithmeticException e) {
+            throw line.bad("numbers, no more than there are report names");
         }
-        long position = Report.NO_POSITION;
-        Role role = Role.UNKNOWN;
-        double queue = -1;
-        double busy = -1;
-        double inFlight = -1;
-        for (int i = 0; i < values.length; i++) {
-            if (values[i].isEmpty() || values[i].equals("-")) {
-                continue;
-            }
-            double value = line.scaled(values[i], 9, "a report value") / 1e9;
-            switch (reportNames[i]) {
-                case "x0" -> position = zero + line.scaled(values[i], 9, "a position");
-                case "x1" -> role = value >= 0.5 ? Role.PRIMARY : Role.REPLICA;
-                case "waiting" -> queue = value;
-                case "cpu" -> busy = value;
-                case "active" -> inFlight = value;
-                default -> { }
-            }
-        }
-        return new Report(position, role, queue, busy, inFlight);
     }
 
     private void forget(Rpc rpc) {
@@ -255,6 +240,10 @@
         timed(callOut.member.id, limit).append('\n');
     }
 
+    @Override public void go(CallOut callOut) {
+        assert false : "the simulator's connections are not the gateway's";
+    }
+
     @Override public void cancel(CallOut callOut) {
         out.append("ABANDON ").append(callOut.rpc.id).append(' ');
         out.append(callOut.rpc.callOuts.indexOf(callOut)).append('\n');
--- a/src/main/java/reedquay/sim/SimHost.java
+++ b/src/main/java/reedquay/sim/SimHost.java
@@ -117,7 +117,7 @@
                 }
                 touched.remove(about);
                 long seed = line.integer("a seed");
-                about = new Gateway(aboutId, seed, new Pairs(line), maker);
+                about = new Gateway(aboutId, seed, line, maker);
                 gateways.put(aboutId, about);
                 touch();
             }
--- a/src/test/java/reedquay/route/Gate.java
+++ b/src/test/java/reedquay/route/Gate.java
@@ -136,6 +136,10 @@
         did.add(now + " call out " + call.rpc.id + " " + call.member.id);
     }
 
+    @Override public void go(CallOut call) {
+        did.add(now + " go " + call.rpc.id);
+    }
+
     @Override public void cancel(CallOut call) {
         cancelled.add(call);
         did.add(now + " cancel " + call.rpc.id);
--- a/src/test/java/reedquay/sim/WireTest.java
+++ b/src/test/java/reedquay/sim/WireTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import reedquay.core.Decimal;
 import reedquay.route.Router;
 
 class WireTest {
@@ -29,11 +30,11 @@
     }
 
     @Test void timesAreExact() {
-        assertEquals(8412_250_000L, Fields.scaled("8412.25", 6));
-        assertEquals(-1_500_000L, Fields.scaled("-1.5", 6));
-        assertEquals(359_012_475_819_001L, Fields.scaled("359012475.819001", 6));
-        assertEquals(1_500_000L, Fields.scaled("1.5E0", 6));
-        assertThrows(NumberFormatException.class, () -> Fields.scaled("1x", 6));
+        assertEquals(8412_250_000L, Decimal.scaled("8412.25", 6));
+        assertEquals(-1_500_000L, Decimal.scaled("-1.5", 6));
+        assertEquals(359_012_475_819_001L, Decimal.scaled("359012475.819001", 6));
+        assertEquals(1_500_000L, Decimal.scaled("1.5E0", 6));
+        assertThrows(NumberFormatException.class, () -> Decimal.scaled("1x", 6));
         StringBuilder out = new StringBuilder();
         Fields.appendMillis(out, 500_250_000L);
         assertEquals("500.25", out.toString());
