--- a/src/main/java/reedquay/core/SettingsReader.java
+++ b/src/main/java/reedquay/core/SettingsReader.java
@@ -51,9 +51,14 @@
                         number("Deductions.LateFail", 0)));
     }
 
-    /** Reads load reports and positions, which count from the zero that the settings name. */
-    public Reports reports() {
-        return new Reports(list("Report.Names"), time("Domain.CountedFrom", 0));
+    /** Reads load reports and positions, which count from the given zero. */
+    public Reports reports(long zero) {
+        return new Reports(list("Report.Names"), zero);
+    }
+
+    /** The clock time from which the simulator counts positions; elsewhere they are Unix times. */
+    public long simulatorsZero() {
+        return time("Domain.CountedFrom", 0);
     }
 
     /** How long a connection may be idle before the member closes it. */
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -61,7 +61,7 @@
         this.limits = limits;
         this.counters = counters;
         settings = reader.settings(seed);
-        reports = reader.reports();
+        reports = reader.reports(0); // Unix time, whatever zero the settings name
         settings.methods().forEach(m -> methods.put(m.name(), m));
         decider = maker.apply(settings, this);
         counters.gauge("rpc.inhand", () -> inHand);
--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -41,7 +41,7 @@
         Settings settings;
         try {
             settings = reader.settings(seed);
-            reports = reader.reports();
+            reports = reader.reports(reader.simulatorsZero());
         } catch (IllegalArgumentException e) {
             throw line.bad(e.getMessage());
         }
