--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -1,5 +1,7 @@
 package reedquay.route;
 
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.util.*;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
@@ -9,10 +11,9 @@
 import reedquay.core.Method.Need;
 
 /**
- * All decisions of one gateway. The host makes one Router an instance, calls begin, any inputs, then end for
- * each batch, and carries out the Effects called meanwhile. Inputs, effects and settings: reedquay.core.
- * In this order: the table of an RPC's life and its loop, the state, the inputs, the table's conditions and
- * effects, the draw with the estimate, the guards, health.
+ * All decisions of one gateway. A front makes one Router an instance, calls begin, inputs, then end for each
+ * batch, and carries out the Effects called meanwhile. In this order: the table of an RPC's life, the state,
+ * the inputs, the table's conditions and effects, the draw with the estimate, the guards, health.
  */
 public final class Router implements Decider {
     enum State { NEW, HELD, OUT, ENDED }
@@ -26,6 +27,7 @@
     private static final BiPredicate<Router, Job> UNKNOWN = (r, j) -> j.group == null || j.rpc.method == null;
     private static final BiPredicate<Router, Job> STILL_OUT = (r, j) -> j.out > 0;
     private static final BiConsumer<Router, Job> NOTHING = (r, j) -> { };
+    private static final BiConsumer<Router, Job> DROP = (r, j) -> r.effects.cancel(j.ready);
 
     /** The life of an RPC: the first row whose state, input and condition hold is taken. */
     private static final Row[] TABLE = {
@@ -39,8 +41,8 @@
         new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
         new Row(State.OUT, Input.READY, Router::stillFits, State.OUT, Router::go),
-        new Row(State.OUT, Input.READY, ALWAYS, State.OUT, Router::drop),
-        new Row(State.ENDED, Input.READY, ALWAYS, State.ENDED, Router::drop),
+        new Row(State.OUT, Input.READY, ALWAYS, State.OUT, DROP),
+        new Row(State.ENDED, Input.READY, ALWAYS, State.ENDED, DROP),
         new Row(State.OUT, Input.SLOW, Router::silentAndMayMove, State.OUT, Router::move),
         new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
         new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
@@ -106,26 +108,24 @@
     private static final class Node {
         final Member member;
         Group group = new Group(-1); // until listed
-        final Latency latency;
-        final Latency strain; // latencies, each as if its soft deadline were the shortest
+        final Latency latency, strain; // strain: each as if its soft deadline were the shortest
         final ArrayDeque<Long> sends = new ArrayDeque<>(); // within the last cold window
         boolean open, listedPrimary; // open: listed and not draining; nor gone, where that binds
         Role role = Role.UNKNOWN;
-        long position = Report.NO_POSITION;
-        long roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
+        long position = Report.NO_POSITION, roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
         double busy; // smoothed: how busy its cores are, as reported
         double load; // smoothed: calls in flight there from all gateways, as reported
         int inFlight, allowance; // allowance: what a cold member may get, as drawn for the window
-        long drawnAt = LONG_AGO;
         double room = ROOM; // how many call-outs may be in flight
         int strikes; // times turned away in a row
-        long restUntil = LONG_AGO, cutAt = LONG_AGO;
+        long drawnAt = LONG_AGO, restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, reported, probing; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long reportedAt, quietSince, trialWait, trialAt;
 
         Node(Member member, long unit) {
             this.member = member;
+            member.state = this;
             this.latency = new Latency(unit);
             this.strain = new Latency(unit);
         }
@@ -143,18 +143,12 @@
         }
 
         void add(long took) {
-            int bin = 0;
-            while (bin < BINS - 1 && took > unit << bin) {
-                bin++;
-            }
-            counts[bin] += 2;
+            int bits = Long.SIZE - Long.numberOfLeadingZeros(Math.max(0, took - 1) / unit);
+            counts[Math.min(BINS - 1, bits)] += 2;
             total += 2;
             if (total >= MOST) {
-                total = 0;
-                for (int i = 0; i < BINS; i++) {
-                    counts[i] /= 2;
-                    total += counts[i];
-                }
+                Arrays.setAll(counts, i -> counts[i] / 2);
+                total = Arrays.stream(counts).sum();
             }
         }
 
@@ -203,6 +197,7 @@
     private final double coldShare, coldMultiple;
     private final int gateways;
     private final CRC32 crc = new CRC32();
+    private final ByteBuffer words = ByteBuffer.allocate(2 * Long.BYTES).order(ByteOrder.LITTLE_ENDIAN);
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final TreeMap<String, Long> writes = new TreeMap<>(); // remembered tokens
     private final List<Node> nodes = new ArrayList<>();
@@ -268,9 +263,7 @@
                 effects.subscribe();
             } else {
                 wake.node.group.news = true;
-                if (wake.input == Input.WAKE) {
-                    tryAgain(wake.node);
-                }
+                tryAgain(wake.node);
             }
         }
         groups.values().forEach(this::wakeHeld);
@@ -293,9 +286,7 @@
             Node node = (Node) entry.member().state;
             Group group = groups.computeIfAbsent(entry.group(), Group::new);
             if (node == null) {
-                node = new Node(entry.member(), brisk / 16);
-                entry.member().state = node;
-                nodes.add(node);
+                nodes.add(node = new Node(entry.member(), brisk / 16));
             }
             if (node.group != group) { // new, or moved: what was learnt is of other data
                 node.group.nodes.remove(node);
@@ -351,9 +342,7 @@
         if (remembered && outcome == Outcome.OK && method.need() == Need.WRITE && call.rpc.session != null) {
             writes.merge(call.rpc.session, now, Math::max); // its commit was no later
         }
-        if (!outcome.provesNeverRan) {
-            job.mayHaveRunAt = Math.min(job.mayHaveRunAt, call.sentAt);
-        }
+        job.mayHaveRunAt = Math.min(job.mayHaveRunAt, outcome.provesNeverRan ? NEVER : call.sentAt);
         job.misses += outcome == Outcome.MISS ? 1 : 0;
         node.group.news = true;
         step(job, ended ? Input.OK : Input.FAILED);
@@ -410,7 +399,7 @@
         return (overShare(job) | job.rpc.retry) && now < job.group.pressedUntil && job.read; // all count
     }
 
-    /** Whether the tenant has used up what of its share falls to this gateway. */
+    /** Whether the tenant has used up its share's part here. */
     private boolean overShare(Job job) {
         Share share = shares.getOrDefault(job.rpc.tenant, unlimited);
         double left = Math.min(share.most, share.left + (now - share.at) / 1e9 * share.perSecond);
@@ -421,9 +410,8 @@
 
     /** Rule 2, the cap, and the standing practice on further call-outs. */
     private boolean mayGoOn(Job job) {
-        int further = now < job.group.pressedUntil && job.misses == 0 ? 0 : FURTHER;
-        return job.rpc.callOuts.size() < allowed.callOuts() && now < latest(job)
-                && job.further < further && mayRepeat(job);
+        boolean further = job.further < (now < job.group.pressedUntil && job.misses == 0 ? 0 : FURTHER);
+        return further && job.rpc.callOuts.size() < allowed.callOuts() && now < latest(job) && mayRepeat(job);
     }
 
     /** Guards against call-outs that no client waits for: they would make an abort of a pushback. */
@@ -468,11 +456,11 @@
     /** Guards the rules over a wait for a connection: age, drain, start and window are judged once more. */
     private boolean stillFits(Job job) {
         Node node = (Node) job.ready.member.state;
-        Node primary = job.group.primary;
+        long bound = membersCheck ? NEVER : bound(job);
+        boolean fit = node == job.group.primary || (job.read ? bound == NEVER || estimate(node) < bound
+                : job.group.primary == null);
         node.sends.removeLastOccurrence(job.ready.sentAt);
-        boolean fit = node == primary || (job.read ? membersCheck || bound(job) == NEVER
-                || estimate(node) < bound(job) : primary == null);
-        return fit && alive(node) && node.group == job.group && warmEnough(node) && mayRepeat(job);
+        return fit && node.open && node.group == job.group && warmEnough(node) && mayRepeat(job);
     }
 
     private void go(Job job) {
@@ -481,19 +469,13 @@
         effects.go(job.ready);
     }
 
-    private void drop(Job job) {
-        effects.cancel(job.ready);
-    }
-
     private void send(Job job) {
         Node node = job.target;
         CallOut call = new CallOut(job.rpc, node.member, now);
         job.further += job.rpc.callOuts.isEmpty() || job.misses > 0 ? 0 : 1;
         job.rpc.callOuts.add(call);
         job.out++;
-        if (node.inFlight++ == 0) {
-            node.quietSince = now;
-        }
+        node.quietSince = node.inFlight++ == 0 ? now : node.quietSince;
         node.mayTry = false;
         node.sends.addLast(now);
         effects.callOut(call, 0);
@@ -573,15 +555,13 @@
         if (primary != null) {
             return usable(primary) ? primary : null;
         }
-        if (need == Need.FRESH || job.misses >= Math.min(job.group.nodes.size(), allowed.callOuts() / 2)) {
-            return null;
-        }
+        int most = Math.min(job.group.nodes.size(), allowed.callOuts() / 2);
+        boolean wait = need == Need.FRESH || job.misses >= most;
         Node best = null;
         for (Node n : job.group.nodes) {
             boolean surely = n.role == Role.REPLICA && now - n.roleAt < allowed.connectTimeout();
-            if (usable(n) && !surely && !job.at(n) && (best == null || n.roleAt < best.roleAt)) {
-                best = n;
-            }
+            boolean may = !wait && usable(n) && !surely && !job.at(n);
+            best = may && (best == null || n.roleAt < best.roleAt) ? n : best;
         }
         return best;
     }
@@ -595,11 +575,8 @@
             if (n.aside && n.mayTry && n.open && warmEnough(n) && (any || estimate(n) < bound)) {
                 return n; // a silent member comes back by being tried a little
             }
-            if (n == primary || !alive(n)) {
-                continue;
-            }
-            replicaLeft = true;
-            if (!usable(n)) {
+            replicaLeft |= n != primary && alive(n);
+            if (n == primary || !usable(n)) {
                 continue;
             }
             double weight = 1 / (n.latency.mean(all.mean(brisk / 4)) * (Math.max(n.load, n.inFlight) + 1));
@@ -647,11 +624,7 @@
 
     private double chance() {
         crc.reset();
-        for (long word : new long[] {seed, counter++}) {
-            for (int i = 0; i < Long.SIZE; i += Byte.SIZE) {
-                crc.update((int) (word >>> i));
-            }
-        }
+        crc.update(words.putLong(0, seed).putLong(8, counter++).rewind());
         return crc.getValue() / 4294967296.0;
     }
 
@@ -672,13 +645,11 @@
 
     /**
      * Rule 4: in every window a cold member gets three quarters of the stated multiple of its share of what a
-     * member is seen to answer, by this gateway alone; what is sent is no measure: under overload it is more.
-     * Below one RPC it is a chance drawn anew in each window: one each from many gateways would be too many.
+     * member is seen to answer here; what is sent is no measure: under overload it is more. Below one RPC it
+     * is a chance drawn anew in each window: one each from many gateways would be too many.
      */
     private boolean warmEnough(Node node) {
-        while (!node.sends.isEmpty() && node.sends.peekFirst() <= now - coldWindow) {
-            node.sends.pollFirst();
-        }
+        node.sends.removeIf(at -> at <= now - coldWindow);
         if (node.startedAt == LONG_AGO || now - node.startedAt >= coldFor) {
             return true;
         }
