--- /dev/null
+++ b/example/StandIn.java
@@ -0,0 +1,386 @@
+package example;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import reedquay.pg.Frame;
+import reedquay.pg.FrameDecoder;
+import reedquay.pg.Messages;
+
+/**
+ * A toy primary with replicas and their discovery, written from the published protocols, to try a gateway with and
+ * to test it against. All of it runs on one event loop of its own; ports are chosen by the system unless given.
+ */
+public final class StandIn implements AutoCloseable {
+    private static final Pattern READ = Pattern.compile("SELECT data FROM facts WHERE code = '([^']*)'.*");
+    private static final Pattern WRITE = Pattern.compile(
+            "INSERT INTO facts \\(code, data\\) VALUES \\('([^']*)', '([^']*)'\\) RETURNING data.*");
+
+    private record Fact(long position, String code, String data) { }
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final List<Fact> log = new ArrayList<>();
+    private final Set<Channel> watches = new LinkedHashSet<>();
+    private final Channel discovery;
+    private final long beatMillis;
+    private long lastCommit;
+    private long generation;
+    /** What a watch asked for, in their order. */
+    public final List<String> watched = new CopyOnWriteArrayList<>();
+    public volatile boolean discoverySilent;
+
+    /** discoveryPort 0: the system chooses. The first member is the primary. */
+    public StandIn(int discoveryPort, long beatMillis, String... names) {
+        this.beatMillis = beatMillis;
+        for (String name : names) {
+            Server server = new Server(name, servers.isEmpty());
+            servers.put(name, server);
+            server.start(0);
+        }
+        discovery = listen(discoveryPort, new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpServerCodec(), new Watch());
+            }
+        });
+        group.next().scheduleAtFixedRate(() -> {
+            if (!discoverySilent) {
+                watches.forEach(w -> line(w, ""));
+            }
+        }, beatMillis, beatMillis, TimeUnit.MILLISECONDS);
+    }
+
+    public Server server(String name) {
+        return servers.get(name);
+    }
+
+    public InetSocketAddress discovery() {
+        return (InetSocketAddress) discovery.localAddress();
+    }
+
+    private Channel listen(int port, ChannelHandler handler) {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(handler).bind(new InetSocketAddress("127.0.0.1", port)).syncUninterruptibly().channel();
+    }
+
+    @Override public void close() {
+        group.shutdownGracefully(0, 5, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    /** Runs it on the event loop, to its end. */
+    public void run(Runnable change) {
+        group.next().submit(change).syncUninterruptibly();
+    }
+
+    // ---- Members ----
+
+    /** One member. Its public fields may be set at any time and act on the next statement. */
+    public final class Server {
+        public final String name;
+        public volatile boolean primary;
+        /** How far a replica is behind. */
+        public volatile long lagMillis = 5;
+        /**
+         * Empty for none; an SQLSTATE it answers with; "silent", "reset" (breaks when the statement is in), "half"
+         * (breaks after CommandComplete), "garbage", "crowded" (admits nobody), or "mute" (never admits).
+         */
+        public volatile String fault = "";
+        public volatile String lifecycle = "ready";
+        public volatile long startedAtMs;
+        /** Statements that came in whole, probes left out. */
+        public final List<String> statements = new CopyOnWriteArrayList<>();
+        public final List<String> probes = new CopyOnWriteArrayList<>();
+        /** Connections accepted so far. */
+        public volatile int accepted;
+        private final Set<Channel> open = new LinkedHashSet<>();
+        private Channel listener;
+        private int port;
+
+        Server(String name, boolean primary) {
+            this.name = name;
+            this.primary = primary;
+        }
+
+        public int open() {
+            int[] count = new int[1];
+            run(() -> count[0] = open.size());
+            return count[0];
+        }
+
+        /** Listens; port 0 is chosen by the system. */
+        public void start(int at) {
+            listener = listen(at, new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(FrameDecoder.ofClient(1 << 20), new Session(Server.this));
+                }
+            });
+            port = ((InetSocketAddress) listener.localAddress()).getPort();
+        }
+
+        public int port() {
+            return port;
+        }
+
+        /** Dies: refuses new connections and resets those it has. */
+        public void stop() {
+            listener.close().syncUninterruptibly();
+            dropAll();
+        }
+
+        /** Ends the connections it has, as a server does with idle ones. */
+        public void dropAll() {
+            run(() -> new ArrayList<>(open).forEach(Channel::close));
+        }
+
+        private long position() {
+            long now = System.currentTimeMillis();
+            return primary ? now : now - lagMillis;
+        }
+    }
+
+    private final class Session extends ChannelInboundHandlerAdapter {
+        private final Server server;
+
+        Session(Server server) {
+            this.server = server;
+        }
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            server.accepted++;
+            server.open.add(ctx.channel());
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            server.open.remove(ctx.channel());
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            Frame frame = (Frame) message;
+            try {
+                if (frame.type == Frame.FIRST) {
+                    if (server.fault.equals("crowded")) {
+                        ctx.writeAndFlush(Messages.error(ctx.alloc().buffer(), "FATAL", "53300", "crowded", null));
+                        ctx.close();
+                    } else if (!server.fault.equals("mute")) {
+                        ctx.write(Messages.ready(Messages.welcome(ctx.alloc().buffer(), 1, 1)));
+                    }
+                } else if (frame.type == 'Q') {
+                    query(ctx, frame.text(0));
+                } else {
+                    ctx.close();
+                }
+                ctx.flush();
+            } finally {
+                frame.release();
+            }
+        }
+
+        private void query(ChannelHandlerContext ctx, String text) {
+            ByteBuf out = ctx.alloc().buffer();
+            if (text.equals("SELECT 1") || text.equals("SHOW server_load")) {
+                server.probes.add(text);
+                if (server.fault.equals("silent")) {
+                    out.release();
+                    return;
+                }
+                row(out, text.equals("SELECT 1") ? "1" : "x0=" + server.position() / 1000.0);
+                ctx.write(Messages.ready(out));
+                return;
+            }
+            if (text.isBlank()) {
+                ctx.write(Messages.ready(Messages.emptyQuery(out)));
+                return;
+            }
+            server.statements.add(text);
+            switch (server.fault) {
+                case "silent" -> out.release();
+                case "reset" -> {
+                    out.release();
+                    ctx.close();
+                }
+                case "garbage" -> ctx.write(out.writeByte('?').writeInt(77));
+                case "", "half" -> answer(ctx, out, text.replaceFirst("^/\\*.*?\\*/\\s*", ""), text.startsWith("/*"));
+                default -> refuse(ctx, out, server.fault);
+            }
+        }
+
+        private void refuse(ChannelHandlerContext ctx, ByteBuf out, String code) {
+            Messages.error(out, "ERROR", code, "as told", null);
+            ctx.write(Messages.ready(about(out, server.position())));
+        }
+
+        private void answer(ChannelHandlerContext ctx, ByteBuf out, String sql, boolean commented) {
+            Matcher write = WRITE.matcher(sql);
+            Matcher read = READ.matcher(sql);
+            if (!commented || !write.matches() && !read.matches()) {
+                refuse(ctx, out, "08P01");
+            } else if (write.matches() && !server.primary) {
+                refuse(ctx, out, "25006");
+            } else {
+                long position = server.position();
+                String data = "";
+                if (write.matches()) {
+                    data = write.group(2);
+                    position = lastCommit = Math.max(position, lastCommit + 1);
+                    log.add(new Fact(position, write.group(1), data));
+                } else {
+                    for (Fact fact : log) {
+                        data = fact.code.equals(read.group(1)) && fact.position <= position ? fact.data : data;
+                    }
+                }
+                row(out, data);
+                if (server.fault.equals("half")) {
+                    ctx.writeAndFlush(out);
+                    ctx.close();
+                } else {
+                    ctx.write(Messages.ready(about(out, position)));
+                }
+            }
+        }
+
+        private ByteBuf about(ByteBuf out, long position) {
+            Messages.parameter(out, "node_role", server.primary ? "leader" : "follower");
+            return Messages.parameter(out, "replay_position", Long.toString(position));
+        }
+
+        private void row(ByteBuf out, String value) {
+            Messages.complete(Messages.row(Messages.columns(out, "data"), value), "SELECT 1");
+        }
+    }
+
+    // ---- Discovery ----
+
+    /** Tells all watches of these members as they are now; those named alone. */
+    public void tell(String... names) {
+        run(() -> {
+            generation++;
+            String text = list(false, names.length == 0 ? servers.keySet().toArray(new String[0]) : names);
+            watches.forEach(w -> line(w, text));
+        });
+    }
+
+    /** Writes bytes to the watches as they are. */
+    public void tellRaw(String text) {
+        run(() -> watches.forEach(w -> w.writeAndFlush(new DefaultHttpContent(
+                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)))));
+    }
+
+    public void endWatches() {
+        run(() -> new ArrayList<>(watches).forEach(Channel::close));
+    }
+
+    /** The list as discovery writes it. */
+    public String list(boolean full, String... names) {
+        StringBuilder out = new StringBuilder("{\"generation\":" + generation + ",\"reset\":" + full
+                + ",\"instances\":[");
+        for (String name : names) {
+            Server s = servers.get(name);
+            out.append(out.charAt(out.length() - 1) == '[' ? "" : ",").append("{\"instanceId\":\"").append(name)
+                    .append("\",\"hostPort\":\"127.0.0.1:").append(s.port).append("\",\"zone\":\"a\",\"cell\":1,")
+                    .append("\"lifecycle\":\"").append(s.lifecycle).append("\",\"weight\":1.0,\"startedAtMs\":")
+                    .append(s.startedAtMs).append(",\"role\":\"").append(s.primary ? "leader" : "follower")
+                    .append("\",\"unknown\":[1,{}]}");
+        }
+        return out.append("]}").toString();
+    }
+
+    private static void line(Channel watch, String text) {
+        // in two pieces, as a network may cut it
+        int half = text.length() / 2;
+        watch.writeAndFlush(new DefaultHttpContent(
+                Unpooled.copiedBuffer(text.substring(0, half), StandardCharsets.UTF_8)));
+        watch.writeAndFlush(new DefaultHttpContent(
+                Unpooled.copiedBuffer(text.substring(half) + "\n", StandardCharsets.UTF_8)));
+    }
+
+    private final class Watch extends ChannelInboundHandlerAdapter {
+        @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof HttpRequest request) {
+                watched.add(request.uri());
+                var head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, "chunked");
+                ctx.writeAndFlush(head);
+                if (!discoverySilent) {
+                    line(ctx.channel(), list(true, servers.keySet().toArray(new String[0])));
+                }
+                watches.add(ctx.channel());
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            watches.remove(ctx.channel());
+        }
+    }
+
+    // ---- By hand ----
+
+    private static final String HELP = "commands: stop NAME | start NAME | drain NAME | ready NAME | gone NAME |"
+            + " lag NAME MS | fault NAME SQLSTATE, silent, reset, half, garbage or none | primary NAME | quit";
+
+    /** A primary and two replicas; the one argument is discovery's port. Commands come on standard input. */
+    public static void main(String[] args) throws IOException {
+        int port = args.length > 0 ? Integer.parseInt(args[0]) : 8500;
+        try (StandIn toy = new StandIn(port, 2000, "one", "two", "three");
+                BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
+            toy.servers.values().forEach(s -> System.out.println(s.name + " listens on 127.0.0.1:" + s.port));
+            System.out.println("discovery listens on " + toy.discovery() + "\n" + HELP);
+            for (String line = in.readLine(); line != null && !line.equals("quit"); line = in.readLine()) {
+                System.out.println(toy.command(line.strip().split("\\s+")));
+            }
+        }
+    }
+
+    private String command(String[] words) {
+        Server server = words.length < 2 ? null : servers.get(words[1]);
+        if (server == null || (words[0].equals("lag") || words[0].equals("fault")) && words.length < 3) {
+            return HELP;
+        }
+        switch (words[0]) {
+            case "stop" -> server.stop();
+            case "start" -> {
+                server.start(server.port);
+                server.startedAtMs = System.currentTimeMillis();
+            }
+            case "drain", "ready", "gone" -> server.lifecycle = words[0].equals("drain") ? "draining" : words[0];
+            case "lag" -> server.lagMillis = Long.parseLong(words[2]);
+            case "fault" -> server.fault = words[2].equals("none") ? "" : words[2];
+            case "primary" -> servers.values().forEach(s -> s.primary = s == server);
+            default -> {
+                return HELP;
+            }
+        }
+        tell();
+        return "done";
+    }
+}
--- a/src/main/java/reedquay/core/CallOut.java
+++ b/src/main/java/reedquay/core/CallOut.java
@@ -7,6 +7,8 @@
     /** When it went; set anew where it had to wait for its connection. */
     public long sentAt;
     public boolean ended;
+    /** Set by the front while it still waits for its connection: it has not gone, and cannot but by go. */
+    public boolean waiting;
     /** What the front keeps about it; nobody else reads it. */
     public Object front;
 
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -166,6 +166,7 @@
         }
         counters.add("callout." + outcome);
         callOut.ended = true;
+        callOut.waiting = false;
         Rpc rpc = callOut.rpc;
         if (outcome == Outcome.OK && !rpc.ended) {
             finalAnswer(rpc, "rpc.ok");
@@ -191,6 +192,7 @@
         Send send = new Send(callOut, pool, callOut.sentAt, until);
         callOut.front = send;
         counters.add("callout");
+        callOut.waiting = true;
         pool.submit(send);
     }
 
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -165,6 +165,9 @@
 
     /** Goes on for as long as clients still come, then finishes what it has taken; done when all is closed. */
     public CompletableFuture<Void> stop() {
+        if (stopped.isDone()) {
+            return stopped;
+        }
         loop.execute(() -> {
             if (!stopping) {
                 loop.schedule(this::drain, Shutdown.STILL_COMING, TimeUnit.NANOSECONDS);
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -66,6 +66,9 @@
         next.connection = this;
         written = false;
         answer = new Answer();
+        if (next.callOut != null) {
+            next.callOut.waiting = false;
+        }
         ByteBuf query = next.callOut == null ? door.probeQuery(channel.alloc())
                 : door.query(next, channel.alloc());
         channel.writeAndFlush(query).addListener(f -> written |= send == next && f.isSuccess());
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -25,8 +25,10 @@
 
     private static final BiPredicate<Router, Job> ALWAYS = (r, j) -> true;
     private static final BiPredicate<Router, Job> UNKNOWN = (r, j) -> j.group == null || j.rpc.method == null;
+    private static final BiPredicate<Router, Job> NEXT_MAY_GO = (r, j) -> r.mayGoOn(j) && r.findTarget(j);
     private static final BiPredicate<Router, Job> STILL_OUT = (r, j) -> j.out > 0;
     private static final BiConsumer<Router, Job> NOTHING = (r, j) -> { };
+    private static final BiConsumer<Router, Job> GO = (r, j) -> r.effects.go(j.ready);
     private static final BiConsumer<Router, Job> DROP = (r, j) -> r.effects.cancel(j.ready);
 
     /** The life of an RPC: the first row whose state, input and condition hold is taken. */
@@ -40,14 +42,14 @@
         new Row(State.HELD, Input.EXPIRE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.HELD, Input.LEFT, ALWAYS, State.ENDED, NOTHING),
-        new Row(State.OUT, Input.READY, Router::stillFits, State.OUT, Router::go),
+        new Row(State.OUT, Input.READY, Router::stillFits, State.OUT, GO),
         new Row(State.OUT, Input.READY, ALWAYS, State.OUT, DROP),
         new Row(State.ENDED, Input.READY, ALWAYS, State.ENDED, DROP),
         new Row(State.OUT, Input.SLOW, Router::silentAndMayMove, State.OUT, Router::move),
         new Row(State.OUT, Input.SLOW, ALWAYS, State.OUT, Router::watch),
         new Row(State.OUT, Input.OK, ALWAYS, State.ENDED, Router::cancelAll),
         new Row(State.OUT, Input.FAILED, STILL_OUT, State.OUT, NOTHING),
-        new Row(State.OUT, Input.FAILED, Router::nextMayGo, State.OUT, Router::send),
+        new Row(State.OUT, Input.FAILED, NEXT_MAY_GO, State.OUT, Router::send),
         new Row(State.OUT, Input.FAILED, Router::mayGoOn, State.HELD, Router::hold),
         new Row(State.OUT, Input.FAILED, ALWAYS, State.ENDED, Router::giveUp),
         new Row(State.OUT, Input.DUE, ALWAYS, State.ENDED, Router::giveUp),
@@ -421,10 +423,7 @@
 
     /** Rule 2: whether another call-out could do no harm, whatever became of the earlier ones. */
     private boolean mayRepeat(Job job) {
-        long first = job.mayHaveRunAt;
-        for (CallOut c : job.rpc.callOuts) {
-            first = c.ended || c == job.ready ? first : Math.min(first, c.sentAt);
-        }
+        long first = mayHaveRunAt(job);
         return first == NEVER || switch (job.rpc.method.effect()) {
             case IDEMPOTENT -> true;
             case TOKENED -> now + tick < first + job.rpc.method.window();
@@ -432,8 +431,10 @@
         };
     }
 
-    private boolean nextMayGo(Job job) {
-        return mayGoOn(job) && findTarget(job);
+    /** When the first call-out went that may have run, or is still out; NEVER for none. */
+    private long mayHaveRunAt(Job job) {
+        return job.rpc.callOuts.stream().filter(c -> !c.ended && !c.waiting).mapToLong(c -> c.sentAt)
+                .reduce(job.mayHaveRunAt, Math::min);
     }
 
     private boolean silentAndMayMove(Job job) {
@@ -441,7 +442,7 @@
         if (last.inFlight > 0 && now - last.quietSince >= silence()) {
             putAside(last); // it has been given work and has told nothing since, whatever the cause
         }
-        return last.aside && (allowed.overlap() || allowed.cancel()) && nextMayGo(job);
+        return last.aside && (allowed.overlap() || allowed.cancel()) && NEXT_MAY_GO.test(this, job);
     }
 
     /** A second call-out beside the silent one, or in its place once it is cancelled. */
@@ -460,13 +461,9 @@
         boolean fit = node == job.group.primary || (job.read ? bound == NEVER || estimate(node) < bound
                 : job.group.primary == null);
         node.sends.removeLastOccurrence(job.ready.sentAt);
-        return fit && node.open && node.group == job.group && warmEnough(node) && mayRepeat(job);
-    }
-
-    private void go(Job job) {
-        job.ready.sentAt = now;
-        ((Node) job.ready.member.state).sends.addLast(now);
-        effects.go(job.ready);
+        boolean warm = warmEnough(node);
+        node.sends.addLast(job.ready.sentAt = now);
+        return fit && node.open && node.group == job.group && warm && mayRepeat(job);
     }
 
     private void send(Job job) {
@@ -512,7 +509,7 @@
     /** The final answer, at once: a pushback where trying again can do no harm, else an abort. */
     private void giveUp(Job job) {
         Method m = job.rpc.method; // unknown only where nothing was sent
-        if (job.mayHaveRunAt == NEVER && job.out == 0 || m.effect() == Effect.IDEMPOTENT
+        if (mayHaveRunAt(job) == NEVER || m.effect() == Effect.IDEMPOTENT
                 || m.effect() == Effect.TOKENED && m.scope() == Method.Scope.ALL) {
             effects.pushBack(job.rpc, comeBack);
         } else {
@@ -553,7 +550,7 @@
     private Node lead(Job job, Need need) {
         Node primary = job.group.primary;
         if (primary != null) {
-            return usable(primary) ? primary : null;
+            return usable(primary) || primary.trialWait >= 4 * brisk && trial(primary) ? primary : null;
         }
         int most = Math.min(job.group.nodes.size(), allowed.callOuts() / 2);
         boolean wait = need == Need.FRESH || job.misses >= most;
@@ -572,8 +569,8 @@
         Node primary = job.group.primary, pick = null, ask = null;
         double fitting = 0, asking = 0;
         for (Node n : job.group.nodes) {
-            if (n.aside && n.mayTry && n.open && warmEnough(n) && (any || estimate(n) < bound)) {
-                return n; // a silent member comes back by being tried a little
+            if (trial(n) && (any || estimate(n) < bound)) {
+                return n;
             }
             replicaLeft |= n != primary && alive(n);
             if (n == primary || !usable(n)) {
@@ -599,16 +596,15 @@
 
     /** The lag that the data may have now; NEVER where any will do. */
     private long bound(Job job) {
-        Method m = job.rpc.method;
-        if (m.need() == Need.BOUNDED) {
-            return m.maxAge();
+        Need need = job.rpc.method.need();
+        if (need == Need.BOUNDED) {
+            return job.rpc.method.maxAge();
         }
-        if (m.need() == Need.SESSION && remembered) {
+        if (need == Need.SESSION && remembered) {
             Long write = job.rpc.session == null ? null : writes.get(job.rpc.session);
             return write == null ? NEVER : now - write;
         }
-        boolean carried = m.need() == Need.SESSION && job.rpc.tokenAge > 0;
-        return carried ? now - job.arrived + job.rpc.tokenAge : NEVER;
+        return need == Need.SESSION && job.rpc.tokenAge > 0 ? now - job.arrived + job.rpc.tokenAge : NEVER;
     }
 
     /** Lag by the clock since the last known position, floored and padded; the window is one reading. */
@@ -634,6 +630,11 @@
         return node.open && !node.aside;
     }
 
+    /** A silent member comes back by being tried a little: by a write where no read takes the trial for long. */
+    private boolean trial(Node node) {
+        return node.aside && node.mayTry && node.open && warmEnough(node);
+    }
+
     private boolean usable(Node node) {
         return alive(node) && now >= node.restUntil && node.inFlight < node.room && warmEnough(node);
     }
--- /dev/null
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -0,0 +1,507 @@
+package reedquay.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import example.StandIn;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reedquay.pg.Frame;
+import reedquay.pg.Messages;
+
+/** A gateway whole on loopback, against the stand-in of the example folder. */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class GatewayTest {
+    private final StandIn world = new StandIn(0, 200, "one", "two", "three");
+    private final StandIn.Server primary = world.server("one");
+    private Gateway gateway;
+    private InetSocketAddress address;
+    private long ids;
+
+    private static JsonObject configuration() {
+        try {
+            return JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private Gateway start(JsonObject all) {
+        all.addProperty("listen", "127.0.0.1:0");
+        all.addProperty("discovery", "127.0.0.1:" + world.discovery().getPort());
+        gateway = new Gateway(Configuration.parse(all.toString()));
+        address = gateway.start().join();
+        return gateway;
+    }
+
+    private Client ready() throws IOException {
+        if (gateway == null) {
+            start(configuration());
+        }
+        Client client = new Client().startup();
+        assertEquals("I Z", client.ask(""));
+        return client;
+    }
+
+    @AfterEach void stop() {
+        if (gateway != null) {
+            gateway.stop().join();
+            Map<String, Long> c = gateway.counters().join();
+            assertEquals(c.getOrDefault("rpc.taken", 0L), c.getOrDefault("rpc.ok", 0L)
+                    + c.getOrDefault("rpc.pushedback", 0L) + c.getOrDefault("rpc.aborted", 0L)
+                    + c.getOrDefault("rpc.clientgone", 0L) + c.get("rpc.inhand"), c.toString());
+            assertTrue(c.keySet().stream().noneMatch(n -> n.startsWith("broken")), c.toString());
+        }
+        world.close();
+    }
+
+    /** A client that blocks, with answers as a short text: the types in order, values and codes. */
+    private final class Client implements AutoCloseable {
+        final Socket socket = new Socket(address.getAddress(), address.getPort());
+        final DataInputStream in = new DataInputStream(socket.getInputStream());
+
+        Client() throws IOException {
+            socket.setSoTimeout(20_000);
+            socket.setTcpNoDelay(true);
+        }
+
+        void send(ByteBuf bytes) throws IOException {
+            socket.getOutputStream().write(ByteBufUtil.getBytes(bytes));
+            bytes.release();
+        }
+
+        Client startup() throws IOException {
+            send(Messages.startup(Unpooled.buffer(), "portal", "crm"));
+            assertTrue(answer().endsWith("Z"));
+            return this;
+        }
+
+        String ask(String sql) throws IOException {
+            send(Messages.query(Unpooled.buffer(), sql));
+            return answer();
+        }
+
+        /** Up to ReadyForQuery, or "closed" at the end. */
+        String answer() throws IOException {
+            List<String> parts = new ArrayList<>();
+            while (true) {
+                int type = in.read();
+                if (type < 0) {
+                    parts.add("closed");
+                    return String.join(" ", parts);
+                }
+                byte[] body = new byte[in.readInt() - 4];
+                in.readFully(body);
+                Frame frame = new Frame((byte) type, Unpooled.buffer().writeByte(type).writeInt(body.length + 4)
+                        .writeBytes(body));
+                if (type == 'D') {
+                    parts.add("D:" + frame.text(6));
+                } else if (type == 'E') {
+                    parts.add("E:" + frame.fields().get('C')
+                            + (frame.fields().containsKey('D') ? ":" + frame.fields().get('D') : ""));
+                } else if (type != 'R' && type != 'S' && type != 'K') {
+                    parts.add("" + (char) type);
+                }
+                frame.release();
+                if (type == 'Z') {
+                    return String.join(" ", parts);
+                }
+            }
+        }
+
+        @Override public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private String head(String method, int wait, String more) {
+        return "/* id=" + Long.toHexString(0x1000 + ids++) + ",c=" + method + ",t=acme,d=" + wait + ",cluster=1"
+                + more + " */ ";
+    }
+
+    private String read(String method, int wait) {
+        return head(method, wait, "") + "SELECT data FROM facts WHERE code = 'k'";
+    }
+
+    private String write(int wait, String data) {
+        return head("order", wait, ",k=77") + "INSERT INTO facts (code, data) VALUES ('k', '" + data
+                + "') RETURNING data";
+    }
+
+    private static void await(BooleanSupplier holds, String what) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, what);
+            Thread.onSpinWait();
+        }
+    }
+
+    private long count(String name) {
+        return gateway.counters().join().getOrDefault(name, 0L);
+    }
+
+    private void all(String fault) {
+        for (String name : List.of("one", "two", "three")) {
+            world.server(name).fault = fault;
+        }
+    }
+
+    @Test void writesGoToThePrimaryAndReadsToReplicasThatSawThem() throws IOException {
+        try (Client client = ready()) {
+            assertEquals("T D:v1 C Z", client.ask(write(3000, "v1")));
+            long commit = System.currentTimeMillis();
+            String session = head("basket", 2000, ",after=" + commit);
+            // held until a replica's answers show that it is past the write
+            for (String got = ""; !got.equals("T D:v1 C Z"); ) {
+                client.ask(read("history", 1000));
+                got = client.ask(session + "SELECT data FROM facts WHERE code = 'k'");
+                assertTrue(got.equals("T D:v1 C Z") || got.startsWith("E:53300"), got);
+            }
+            assertEquals(1, primary.statements.size());
+            String sent = primary.statements.get(0);
+            assertTrue(sent.matches("/\\* id=[0-9a-f]+,c=order,t=acme,d=\\d+,cluster=1,k=77 \\*/ INSERT .*"), sent);
+            long d = Long.parseLong(sent.replaceAll(".*d=(\\d+),.*", "$1"));
+            assertTrue(d > 0 && d <= 3000, sent);
+        }
+    }
+
+    /** Each row of the protocol's table of outcomes, met on every member. */
+    @Test void outcomesOfMembersBecomeTheAnswersThatRulesAllow() throws IOException {
+        String[][] writes = {{"XX000", "E:58000 Z"}, {"53300", "E:53300:100 Z"}, {"25006", "E:53300:100 Z"},
+            {"reset", "E:58000 Z"}, {"garbage", "E:58000 Z"}, {"half", "T D:w C Z"}, {"silent", "E:58000 Z"}};
+        String[][] reads = {{"XX000", "E:53300:100 Z"}, {"53300", "E:53300:100 Z"}, {"72000", "E:53300:100 Z"},
+            {"reset", "E:53300:100 Z"}, {"garbage", "E:53300:100 Z"}, {"half", "T D:well C Z"}};
+        try (Client client = ready()) {
+            for (String[] row : writes) {
+                recover(client);
+                all(row[0]);
+                assertEquals(row[1], client.ask(write(250, "w")), row[0]);
+            }
+            for (String[] row : reads) {
+                recover(client);
+                all(row[0]);
+                assertEquals(row[1], client.ask(read("history", 250)), row[0]);
+            }
+        }
+    }
+
+    /** Until all members serve again: what was met before must not colour the next case. */
+    private void recover(Client client) throws IOException {
+        all("");
+        for (String got = ""; !got.startsWith("T"); ) {
+            got = client.ask(write(3000, "well"));
+        }
+        for (String name : List.of("two", "three")) {
+            int before = world.server(name).statements.size();
+            while (world.server(name).statements.size() == before) {
+                client.ask(read("history", 1000));
+            }
+        }
+    }
+
+    /** What never left proves that nothing ran: refused, never up, or admitted by nobody. */
+    @Test void connectionsThatDoNotComeUpProveThatNothingRan() throws IOException {
+        JsonObject fresh = configuration();
+        for (String fault : List.of("crowded", "mute", "stopped")) {
+            all(fault);
+            if (fault.equals("stopped")) {
+                primary.stop();
+            }
+            start(fresh.deepCopy());
+            try (Client client = ready()) {
+                assertEquals("E:53300:100 Z", client.ask(write(250, "w")), fault);
+            }
+            gateway.stop().join();
+        }
+        assertEquals(List.of(), primary.statements);
+    }
+
+    /** A connection that broke while idle must not make a may-have-run of the next statement. */
+    @Test void idleConnectionsAreClosedBeforeTheMemberDoesAndNotUsedOnceBroken() throws IOException {
+        JsonObject short1 = configuration();
+        short1.getAsJsonObject("settings").getAsJsonObject("Allowed").addProperty("Keepalive", 300.0);
+        start(short1);
+        try (Client client = ready()) {
+            assertEquals("T D:a C Z", client.ask(write(3000, "a")));
+            await(() -> primary.open() == 0, "idle connections are closed in time");
+            await(() -> count("member.closed.idle") > 0, "and counted");
+            assertEquals("T D:b C Z", client.ask(write(3000, "b")));
+            long before = count("member.open");
+            primary.dropAll();
+            await(() -> count("member.open") < before, "the gateway sees them go");
+            assertEquals("T D:c C Z", client.ask(write(3000, "c")));
+            assertEquals(0, count("callout.RESET"));
+        }
+    }
+
+    @Test void clientThatLeavesEndsItsCallOut() throws IOException {
+        Client client = ready();
+        assertEquals("T D:a C Z", client.ask(write(3000, "a")));
+        primary.fault = "silent";
+        client.send(Messages.query(Unpooled.buffer(), write(3000, "b")));
+        await(() -> primary.statements.size() == 2, "the statement is out");
+        client.close();
+        await(() -> count("rpc.clientgone") == 1 && primary.open() == 0, "its connection is closed");
+        assertEquals(1, count("callout.CANCELLED"));
+    }
+
+    @Test void queriesSentAheadAreAnsweredInOrder() throws IOException {
+        ready().close();
+        try (Client client = new Client()) {
+            ByteBuf all = Messages.startup(Unpooled.buffer(), "portal", "crm");
+            for (String data : List.of("1", "2", "3")) {
+                Messages.query(all, write(3000, data));
+            }
+            client.send(Messages.terminate(Messages.query(Messages.query(all, ""), "SELECT 1")));
+            assertEquals("Z", client.answer());
+            assertEquals("T D:1 C Z", client.answer());
+            assertEquals("T D:2 C Z", client.answer());
+            assertEquals("T D:3 C Z", client.answer());
+            assertEquals("I Z", client.answer());
+            assertEquals("E:42601 Z", client.answer());
+            assertEquals("closed", client.answer());
+        }
+    }
+
+    @Test void whatCannotBeRoutedIsAnErrorAndTheSessionGoesOn() throws IOException {
+        try (Client client = ready()) {
+            for (String bad : List.of("SELECT 1", "/* */ SELECT 1", "/* id=1,c=order,d=5 */ SELECT 1",
+                    "/* id=1,c=order,d=0,cluster=1 */ x", "/* id=1,c=order,d=-5,cluster=1 */ x",
+                    "/* id=1,c=order,d=99999999999999999999,cluster=1 */ x", "/* id=zz,c=order,d=5,cluster=1 */ x",
+                    "/* id=1,id=2,c=order,d=5,cluster=1 */ x", "/* id=1,c=nobody,d=5,cluster=1 */ x",
+                    "/* id=1,c=order,d=5,cluster=1,after=x */ x", "/* id=1,c=order,d=5,cluster=1", "/*")) {
+                assertEquals("E:42601 Z", client.ask(bad), bad);
+            }
+            String elsewhere = head("order", 500, "").replace("cluster=1", "cluster=9");
+            assertTrue(client.ask(elsewhere + "x").startsWith("E:53300"));
+            client.send(Unpooled.buffer().writeByte('P').writeInt(4).writeByte('B').writeInt(4).writeByte('S')
+                    .writeInt(4));
+            assertEquals("E:0A000 Z", client.answer());
+            assertEquals("C Z", client.ask("SET x = 1;"));
+            assertTrue(client.ask("show counters").startsWith("T D:client.accepted"));
+            assertEquals("T D:a C Z", client.ask(write(3000, "a")));
+            try (Client broken = new Client().startup()) {
+                broken.send(Unpooled.buffer().writeByte('Q').writeInt(1 << 29).writeZero(64));
+                assertEquals("E:08P01 closed", broken.answer());
+            }
+            try (Client old = new Client()) {
+                old.send(Unpooled.buffer().writeInt(8).writeInt(2 << 16));
+                assertEquals("E:0A000 closed", old.answer());
+            }
+            try (Client ssl = new Client()) {
+                ssl.send(Unpooled.buffer().writeInt(8).writeInt(Frame.SSL));
+                assertEquals('N', ssl.in.read());
+                assertEquals("T D:b C Z", ssl.startup().ask(write(3000, "b")));
+            }
+            assertEquals("T D:c C Z", client.ask(write(3000, "c")));
+        }
+        assertEquals(3, primary.statements.size());
+    }
+
+    /** Whoever gets no answer sends no more than the limit ahead, and others are served meanwhile. */
+    @Test void clientThatDoesNotReadHoldsUpNobody() throws IOException {
+        try (Client client = ready(); Client deaf = new Client().startup()) {
+            primary.fault = "silent";
+            deaf.send(Messages.query(Unpooled.buffer(), write(3000, "x")));
+            await(() -> !primary.statements.isEmpty(), "the first is out");
+            deaf.socket.setSoTimeout(1);
+            Thread flood = new Thread(() -> {
+                try {
+                    for (int i = 0; i < 200; i++) {
+                        deaf.send(Messages.query(Unpooled.buffer(), "x".repeat(100_000)));
+                    }
+                } catch (IOException e) {
+                    // the socket is closed at the end, as meant
+                }
+            });
+            flood.start();
+            for (int i = 0; i < 50; i++) {
+                assertEquals("T D: C Z", client.ask(read("history", 1000)));
+            }
+            assertTrue(flood.isAlive(), "20 MB were taken in");
+        }
+    }
+
+    @Test void listChangesMoveResumeAndSurviveNonsense() throws IOException {
+        try (Client client = ready()) {
+            assertEquals("T D:a C Z", client.ask(write(3000, "a")));
+            primary.stop();
+            primary.start(0);
+            primary.startedAtMs = System.currentTimeMillis() - 60_000;
+            world.tell("one");
+            long lists = count("discovery.lists");
+            await(() -> count("discovery.lists") >= lists, "the change is read");
+            String got = client.ask(write(3000, "b"));
+            assertEquals("T D:b C Z", got);
+            world.endWatches();
+            await(() -> world.watched.size() == 2, "the watch is opened again");
+            assertEquals("/discovery/hosts?follow=1&since=1", world.watched.get(1));
+            await(() -> count("discovery.lists") > lists, "and read");
+            world.tellRaw("{\"generation\":5,\"instances\":[{]}\n");
+            await(() -> world.watched.size() == 3, "nonsense ends a watch, not the gateway");
+            assertEquals("T D:c C Z", client.ask(write(3000, "c")));
+            world.discoverySilent = true;
+            world.endWatches();
+            await(() -> world.watched.size() == 4, "a silent one is opened as well");
+            assertEquals("T D:d C Z", client.ask(write(3000, "d")));
+        }
+    }
+
+    @Test void drainingMemberGetsNothingNewOnOpenConnections() throws IOException {
+        try (Client client = ready()) {
+            world.server("two").lifecycle = "draining";
+            long lists = count("discovery.lists");
+            world.tell("two");
+            await(() -> count("discovery.lists") > lists, "told");
+            int before = world.server("two").statements.size();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("T D: C Z", client.ask(read("history", 1000)));
+            }
+            assertEquals(before, world.server("two").statements.size());
+        }
+    }
+
+    /** The front sends clients after the first empty query is answered. */
+    @Test void emptyQueryIsAnsweredOnceTheListIsKnown() throws IOException {
+        world.discoverySilent = true;
+        start(configuration());
+        try (Client client = new Client().startup()) {
+            client.send(Messages.query(Unpooled.buffer(), ""));
+            await(() -> !world.watched.isEmpty(), "the watch is open");
+            world.discoverySilent = false;
+            world.tell();
+            assertEquals("I Z", client.answer());
+            assertTrue(count("discovery.lists") > 0);
+        }
+    }
+
+    @Test void stopFinishesWhatWasTakenAndTakesWhatStillComes() throws IOException {
+        try (Client client = ready(); Client idle = new Client().startup()) {
+            primary.fault = "silent";
+            client.send(Messages.query(Unpooled.buffer(), write(900, "a")));
+            await(() -> primary.statements.size() == 1, "the statement is out");
+            var stopped = gateway.stop();
+            try (Client late = new Client().startup()) {
+                assertEquals("T D: C Z", late.ask(read("history", 1000)));
+            }
+            assertEquals("closed", idle.answer());
+            assertFalse(stopped.isDone());
+            assertEquals("E:58000 Z", client.answer());
+            assertEquals("closed", client.answer());
+            stopped.join();
+            assertThrows(IOException.class, Client::new);
+        }
+    }
+
+    /** Beyond the limit, sessions between RPCs make room, and those with one in hand do not. */
+    @Test void descriptorsStayUnderTheLimit() throws IOException {
+        JsonObject small = configuration();
+        small.getAsJsonObject("limits").addProperty("sockets", 128);
+        start(small);
+        Limits limits = new Limits(128);
+        List<Client> clients = new ArrayList<>(List.of(ready()));
+        primary.fault = "silent";
+        clients.get(0).send(Messages.query(Unpooled.buffer(), write(3000, "a")));
+        await(() -> primary.statements.size() == 1, "one has an RPC in hand");
+        for (int i = 0; i < 3 * limits.clients; i++) {
+            Client client = new Client().startup();
+            assertEquals("T D: C Z", client.ask(read("history", 1000)));
+            clients.add(client);
+            assertTrue(count("client.open") <= limits.clients && count("member.open") <= limits.members);
+        }
+        assertTrue(count("client.closed.room") > 0);
+        assertEquals("E:58000 Z", clients.get(0).answer());
+        for (Client client : clients) {
+            client.close();
+        }
+    }
+
+    @Test void eachRpcOfARandomRunGetsOneAnswer() throws Exception {
+        ready().close();
+        String[] faults = {"", "", "", "53300", "XX000", "reset", "silent", "half", "garbage", "72000", "crowded"};
+        List<Thread> threads = new ArrayList<>();
+        long[] answers = new long[6];
+        for (int t = 0; t < answers.length; t++) {
+            int me = t;
+            Client client = new Client().startup();
+            threads.add(new Thread(() -> {
+                SplittableRandom random = new SplittableRandom(me);
+                try (client) {
+                    for (int i = 0; i < 60; i++) {
+                        world.server(List.of("one", "two", "three").get(random.nextInt(3))).fault =
+                                faults[random.nextInt(faults.length)];
+                        String mine = me + "x" + i;
+                        String sql = random.nextInt(3) > 0 ? read("history", 150)
+                                : head("order", 150, "") + "INSERT INTO facts (code, data) VALUES ('" + me + "', '"
+                                + mine + "') RETURNING data";
+                        String got = client.ask(sql);
+                        boolean own = sql.contains("INSERT") ? got.equals("T D:" + mine + " C Z")
+                                : got.equals("T D: C Z");
+                        answers[me] += own || got.equals("E:58000 Z") || got.startsWith("E:53300") ? 1 : 0;
+                    }
+                } catch (IOException e) {
+                    answers[me] = -1;
+                }
+            }));
+        }
+        threads.forEach(Thread::start);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        for (long n : answers) {
+            assertEquals(60, n);
+        }
+        assertEquals(360, count("rpc.taken"));
+    }
+
+    /** Somebody else's idea of the protocol. */
+    @Test void independentClientLibraryIsServed() throws Exception {
+        ready().close();
+        String url = "jdbc:postgresql://127.0.0.1:" + address.getPort() + "/crm?preferQueryMode=simple&user=portal";
+        try (Connection connection = DriverManager.getConnection(url);
+                Statement statement = connection.createStatement()) {
+            try (ResultSet rows = statement.executeQuery(write(3000, "jdbc"))) {
+                assertTrue(rows.next());
+                assertEquals("jdbc", rows.getString(1));
+            }
+            SQLException refused = assertThrows(SQLException.class, () -> statement.executeQuery("SELECT 1"));
+            assertEquals("42601", refused.getSQLState());
+            all("53300");
+            assertEquals("53300", assertThrows(SQLException.class,
+                    () -> statement.executeQuery(read("history", 200))).getSQLState());
+        }
+    }
+
+    @Test void configurationThatCannotBeReadIsNamed() {
+        for (String bad : List.of("{", "[]", "{}", "{\"listen\":\"x\",\"settings\":{},\"discovery\":\"a:1\"}",
+                "{\"listen\":\"a:1\",\"discovery\":\"a:1\",\"settings\":{},\"seed\":\"zz\"}")) {
+            assertThrows(IllegalArgumentException.class, () -> Configuration.parse(bad), bad);
+        }
+        JsonObject wrong = configuration();
+        wrong.getAsJsonObject("settings").addProperty("Tick", "soon");
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> start(wrong)).getMessage().contains("soon"));
+        gateway = null;
+    }
+}
--- /dev/null
+++ b/src/test/java/reedquay/pg/FrameDecoderTest.java
@@ -0,0 +1,101 @@
+package reedquay.pg;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class FrameDecoderTest {
+    private static List<String> decode(EmbeddedChannel channel, ByteBuf stream, int step) {
+        List<String> frames = new ArrayList<>();
+        while (stream.isReadable()) {
+            channel.writeInbound(stream.readRetainedSlice(Math.min(step, stream.readableBytes())));
+            for (Frame f = channel.readInbound(); f != null; f = channel.readInbound()) {
+                frames.add((char) f.type + ByteBufUtil.hexDump(f.content()));
+                assertEquals(f.content().readableBytes(), f.bodyLength() + (f.type == Frame.FIRST ? 4 : 5));
+                f.release();
+            }
+        }
+        stream.release();
+        channel.finishAndReleaseAll();
+        return frames;
+    }
+
+    /** Whatever the network cuts, the same messages come out, as the bytes that went in. */
+    @Test void framesAreTheSameByteByByteAndAllAtOnce() {
+        SplittableRandom random = new SplittableRandom(11);
+        for (int round = 0; round < 6; round++) {
+            ByteBuf stream = Messages.startup(Unpooled.buffer(), "portal", "crm");
+            List<String> expected = new ArrayList<>(List.of("\0" + ByteBufUtil.hexDump(stream)));
+            for (int i = 0; i < 20; i++) {
+                int from = stream.writerIndex();
+                switch (random.nextInt(4)) {
+                    case 0 -> Messages.query(stream, "SELECT " + "x".repeat(random.nextInt(3000)));
+                    case 1 -> Messages.query(stream, "");
+                    case 2 -> stream.writeByte('S').writeInt(4);
+                    default -> Messages.complete(stream, "ä".repeat(random.nextInt(20)));
+                }
+                expected.add((char) stream.getByte(from)
+                        + ByteBufUtil.hexDump(stream, from, stream.writerIndex() - from));
+            }
+            for (int step : new int[] {1, 7, 1 + random.nextInt(900), stream.readableBytes()}) {
+                assertEquals(expected, decode(new EmbeddedChannel(FrameDecoder.ofClient(9000)), stream.copy(), step));
+            }
+            stream.release();
+        }
+    }
+
+    @Test void encryptionIsAskedForBeforeTheFirstMessage() {
+        ByteBuf stream = Unpooled.buffer().writeInt(8).writeInt(Frame.SSL).writeInt(8).writeInt(Frame.GSS);
+        Messages.query(Messages.startup(stream, "u", "d"), "SELECT 1");
+        assertEquals(4, decode(new EmbeddedChannel(FrameDecoder.ofClient(99)), stream, 3).size());
+    }
+
+    @Test void lengthsAndTypesThatCannotBeEndTheStream() {
+        ByteBuf[] bad = {Unpooled.buffer().writeInt(3), Unpooled.buffer().writeInt(-1),
+            Unpooled.buffer().writeInt(20_000),
+            Messages.startup(Unpooled.buffer(), "u", "d").writeByte('Q').writeInt(3),
+            Messages.startup(Unpooled.buffer(), "u", "d").writeByte('Q').writeInt(1 << 30),
+            Messages.startup(Unpooled.buffer(), "u", "d").writeByte('?').writeInt(4)};
+        for (ByteBuf stream : bad) {
+            stream.writeZero(8);
+            EmbeddedChannel channel = new EmbeddedChannel(FrameDecoder.ofClient(9000));
+            assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(stream));
+            channel.writeInbound(Messages.query(Unpooled.buffer(), "after"));
+            List<Integer> types = new ArrayList<>();
+            for (Frame f = channel.readInbound(); f != null; f = channel.readInbound()) {
+                types.add((int) f.type);
+                f.release();
+            }
+            assertFalse(types.contains((int) 'Q'), "what follows a broken frame is not read");
+            channel.finishAndReleaseAll();
+        }
+    }
+
+    @Test void fieldsOfAnErrorAreReadBack() {
+        Frame frame = new Frame((byte) 'E', Messages.error(Unpooled.buffer(), "ERROR", "53300", "füll", "120"));
+        assertEquals("53300", frame.fields().get('C'));
+        assertEquals("füll", frame.fields().get('M'));
+        assertEquals("120", frame.fields().get('D'));
+        frame.release();
+    }
+
+    @Test void onlyTheGivenBytesOfAQueryAreReplaced() {
+        Frame frame = new Frame((byte) 'Q', Messages.query(Unpooled.buffer(), "/* d=1500,x=1 */ SELECT ü"));
+        ByteBuf query = Messages.query(UnpooledByteBufAllocator.DEFAULT, frame, 5, 9, 73);
+        ByteBuf expected = Messages.query(Unpooled.buffer(), "/* d=73,x=1 */ SELECT ü");
+        assertEquals(expected, query);
+        expected.release();
+        query.release();
+        assertEquals(1, frame.refCnt());
+        frame.release();
+    }
+}
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -276,6 +276,52 @@
         }
     }
 
+    /** A group whose primary had hung and to which nobody reads stayed without one for ever. */
+    @Test void primaryPutAsideComesBackByAWriteWhereNobodyReads() {
+        gate.arrive(WRITE, 0);
+        gate.pass(1500);
+        gate.batch(() -> gate.finish(gate.out.get(0), Outcome.CANCELLED, Report.NO_POSITION, Role.UNKNOWN));
+        for (int i = 0; i < 40 && gate.out.isEmpty(); i++) {
+            gate.arrive(WRITE, 0);
+            gate.pass(200);
+            gate.probes.clear();
+            gate.batch(() -> gate.router.probed(gate.member("p"), Outcome.OK, MS, Report.NONE));
+        }
+        assertEquals("p", gate.out.get(0).member.id);
+        gate.answer(gate.out.get(0), Outcome.OK, gate.now, Role.PRIMARY);
+        assertEquals("p", gate.serve(WRITE).id);
+    }
+
+    /** What waited for its connection met a drain, a cold start, or an age that had grown meanwhile. */
+    @Test void callOutThatWaitedForItsConnectionIsJudgedOnceMore() {
+        for (int i = 0; i < 4; i++) {
+            Gate gate = usual();
+            gate.tellPosition("r1", 10);
+            gate.tellPosition("r2", 10);
+            CallOut call = gate.last(gate.arrive(i == 3 ? BOUNDED : ANY, 0));
+            call.waiting = true;
+            gate.pass(i == 3 ? 290 : 50);
+            if (i == 1 || i == 2) {
+                gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry(call.member.id, Listed.Phase.DRAINING,
+                        false, 0)));
+            }
+            if (i == 2) {
+                gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.up(call.member.id, false)));
+            }
+            gate.batch(() -> gate.router.ready(call));
+            assertEquals(i == 0 || i == 2, gate.did.contains(gate.now + " go " + call.rpc.id), "case " + i);
+            assertEquals(i == 1 || i == 3, gate.cancelled.contains(call), "case " + i);
+        }
+    }
+
+    /** A call-out that has not gone proves that it never ran: its RPC may be pushed back. */
+    @Test void writeThatStillWaitsForItsConnectionIsPushedBack() {
+        Rpc rpc = gate.arrive(WRITE, 0);
+        gate.last(rpc).waiting = true;
+        gate.pass(1500);
+        assertTrue(gate.pushedBack.contains(rpc) && gate.cancelled.contains(gate.last(rpc)));
+    }
+
     @Test void rpcOfAnUnknownGroupOrMethodIsPushedBack() {
         Rpc stray = new Rpc(99, 42, null, gate.now + MS, false, 0, null, ANY);
         Rpc unknown = new Rpc(98, 1, null, gate.now + MS, false, 0, null, null);
--- a/src/test/java/reedquay/route/RulesTest.java
+++ b/src/test/java/reedquay/route/RulesTest.java
@@ -25,6 +25,9 @@
         final List<Long> answers = new ArrayList<>(); // within the last cold window
         long most;
         final List<CallOut> sent = new ArrayList<>();
+        final List<CallOut> waiting = new ArrayList<>(); // for a connection
+        final List<CallOut> dropped = new ArrayList<>(); // cancelled while they waited
+        int went;
         String primary = "a";
 
         World(long seed, boolean overlap, boolean onlyDraining) {
@@ -69,7 +72,21 @@
                     router.arrived(rpc);
                 }
             }
+            for (CallOut call : List.copyOf(dropped)) {
+                outcomes.put(call, Outcome.NEVER_SENT);
+                finish(call, Outcome.NEVER_SENT, Report.NO_POSITION, Role.UNKNOWN);
+            }
+            dropped.clear();
+            for (CallOut call : List.copyOf(waiting)) {
+                if (waiting.contains(call) && random.nextInt(4) == 0) {
+                    router.ready(call);
+                    assertFalse(waiting.contains(call), "neither go nor cancel");
+                }
+            }
             for (CallOut call : List.copyOf(out)) {
+                if (waiting.contains(call) || dropped.contains(call)) {
+                    continue;
+                }
                 if (random.nextInt(5) == 0 || now >= call.rpc.due) {
                     end(call);
                 }
@@ -121,7 +138,8 @@
                     ? new Outcome[] {Outcome.MISS, Outcome.RESET, Outcome.NO_CONNECTION}
                     : Outcome.values();
             Outcome outcome = now >= call.rpc.due ? Outcome.TIMED_OUT
-                    : random.nextInt(12) > 0 && (leads || can.length > 3) ? Outcome.OK : can[random.nextInt(can.length)];
+                    : random.nextInt(12) > 0 && (leads || can.length > 3) ? Outcome.OK
+                    : can[random.nextInt(can.length)];
             outcomes.put(call, outcome);
             boolean tells = outcome == Outcome.OK || outcome == Outcome.MISS;
             if (tells && !leads) {
@@ -139,21 +157,52 @@
         }
 
         private boolean mayHaveRun(CallOut call) {
+            if (waiting.contains(call) || dropped.contains(call)) {
+                return false; // the front says so, and it cannot go without a go
+            }
             return !outcomes.containsKey(call) || !outcomes.get(call).provesNeverRan;
         }
 
         @Override public void callOut(CallOut call, long limit) {
             Rpc rpc = call.rpc;
             List<CallOut> earlier = rpc.callOuts.subList(0, rpc.callOuts.size() - 1);
-            assertFalse(rpc.ended, "rule 1: sent after the end");
+            assertFalse(rpc.ended, "rule 1: called out after the end");
             assertTrue(settings.allowed().overlap() || earlier.stream().allMatch(outcomes::containsKey), "overlap");
-            OptionalLong ran = earlier.stream().filter(this::mayHaveRun).mapToLong(c -> c.sentAt).min();
+            assertTrue(rpc.callOuts.size() <= settings.allowed().callOuts(), "more than the cap");
+            super.callOut(call, limit);
+            if (random.nextInt(5) == 0) {
+                call.waiting = waiting.add(call);
+            } else {
+                goes(call);
+            }
+        }
+
+        @Override public void go(CallOut call) {
+            assertTrue(waiting.remove(call), "went twice");
+            assertEquals(now, call.sentAt);
+            went++;
+            call.waiting = false;
+            goes(call);
+        }
+
+        @Override public void cancel(CallOut call) {
+            super.cancel(call);
+            if (waiting.remove(call)) {
+                dropped.add(call);
+            }
+        }
+
+        /** The rules at the moment of the send, whether it had to wait or not. */
+        private void goes(CallOut call) {
+            Rpc rpc = call.rpc;
+            assertFalse(rpc.ended, "rule 1: sent after the end");
+            List<CallOut> others = rpc.callOuts.stream().filter(c -> c != call && sent.contains(c)).toList();
+            OptionalLong ran = others.stream().filter(this::mayHaveRun).mapToLong(c -> c.sentAt).min();
             if (ran.isPresent()) {
                 Effect effect = rpc.method.effect();
                 assertNotEquals(Effect.NON_IDEMPOTENT, effect, "rule 2: twice");
                 assertTrue(effect != Effect.TOKENED || now < ran.getAsLong() + rpc.method.window(), "rule 2: window");
             }
-            assertTrue(rpc.callOuts.size() <= settings.allowed().callOuts(), "more than the cap");
             assertTrue(now < closed.getOrDefault(call.member, Long.MAX_VALUE - 500 * MS) + 500 * MS, "rule 3");
             long need = switch (rpc.method.need()) {
                 case WRITE, ANY -> Long.MIN_VALUE;
@@ -164,7 +213,6 @@
             assertTrue(excused.contains(call.member) || truth.get(call.member) >= need, "rule 5: stale");
             sent.add(call);
             cold(call.member);
-            super.callOut(call, limit);
         }
 
         /** Rule 4: never the multiple of the share of the most that a member is known to do. */
@@ -199,14 +247,17 @@
         int sent = 0;
         int aborted = 0;
         int pushedBack = 0;
+        int went = 0;
         for (int seed = 0; seed < 30; seed++) {
             World world = new World(seed, seed % 2 == 0, seed % 3 == 0);
             world.run(600);
             sent += world.sent.size();
             aborted += world.aborted.size();
             pushedBack += world.pushedBack.size();
+            went += world.went;
         }
-        assertTrue(sent > 6000 && aborted > 100 && pushedBack > 2000, sent + " " + aborted + " " + pushedBack);
+        assertTrue(sent > 6000 && aborted > 100 && pushedBack > 2000 && went > 300,
+                sent + " " + aborted + " " + pushedBack + " " + went);
     }
 
     @Test void sameEventsGiveSameActions() {
