--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -630,7 +630,7 @@
         return node.open && !node.aside;
     }
 
-    /** A silent member comes back by being tried a little: by a write where no read takes the trial for long. */
+    /** A silent member comes back by being tried a little, by a write where no read does it for long. */
     private boolean trial(Node node) {
         return node.aside && node.mayTry && node.open && warmEnough(node);
     }
