--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -1,9 +1,11 @@
 package reedquay;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import reedquay.net.Configuration;
 import reedquay.net.Gateway;
+import reedquay.net.Rehearsal;
 import reedquay.sim.SimHost;
 
 /** Starts the front named on the command line. */
@@ -11,15 +13,21 @@
     private Main() { }
 
     public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("simhost")) {
+        String front = args.length == 0 ? "" : args[0];
+        String config = args.length == 2 ? args[1] : System.getenv("LB_CONFIG");
+        if (front.equals("simhost")) {
             System.exit(SimHost.serve(System.in, System.out, System.err));
         }
-        String config = args.length == 2 ? args[1] : System.getenv("LB_CONFIG");
-        if (args.length < 1 || args.length > 2 || !args[0].equals("serve") || config == null) {
-            System.err.println("usage: java -jar reedquay.jar simhost | serve [CONFIG.json, or LB_CONFIG names it]");
+        if (args.length > 2 || config == null || !front.equals("serve") && !front.equals("rehearse")) {
+            System.err.println("usage: java -jar reedquay.jar simhost | serve [CONFIG] | rehearse CONFIG\n"
+                    + "CONFIG is a JSON file; where none is given LB_CONFIG names it");
             System.exit(2);
         }
         try {
+            if (front.equals("rehearse")) {
+                Rehearsal.run(Files.readString(Path.of(config)));
+                return;
+            }
             Gateway gateway = new Gateway(Configuration.read(Path.of(config)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 gateway.stop().join();
@@ -30,7 +38,7 @@
             System.out.println("listening on " + gateway.start().join());
         } catch (IOException | RuntimeException e) {
             System.err.println("reedquay: cannot start: " + e.getMessage());
-            System.exit(1);
+            Runtime.getRuntime().halt(1); // the hook has nothing to finish
         }
     }
 }
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -47,6 +47,7 @@
         Frame frame = (Frame) message;
         ahead.addLast(frame);
         aheadBytes += frame.content().readableBytes();
+        door.limits.hold(frame.content().readableBytes());
         takeNext();
     }
 
@@ -67,11 +68,11 @@
             try {
                 take(frame);
             } finally {
-                frame.release();
+                release(frame);
             }
         }
-        // a client that sends ahead without end, or reads nothing, is not read from
-        channel.config().setAutoRead(aheadBytes <= door.limits.waitingBytes);
+        // a client that sends ahead without end, or reads nothing, is not read from; nobody is while memory is short
+        channel.config().setAutoRead(aheadBytes <= door.limits.waitingBytes && !door.limits.full());
         if (draining && state == State.FREE && ahead.isEmpty()) {
             end();
         }
@@ -168,6 +169,7 @@
             return;
         }
         frame.retain(); // until its final answer
+        door.limits.hold(frame.content().readableBytes());
         statement = next;
         state = State.IN_HAND;
         rpc = door.arrived(this, statement);
@@ -194,19 +196,27 @@
         channel.writeAndFlush(last);
         settle();
         state = State.FREE;
-        // not from within a batch of decisions, where the next RPC would be its input too early
-        channel.eventLoop().execute(() -> {
-            if (channel.isActive()) {
-                takeNext();
-                channel.flush();
-            }
-        });
+        // guards against an RPC that is taken from within the batch of decisions that answered the last one
+        door.afterwards(this::resume);
+    }
+
+    /** Goes on with what came ahead, or reads again. */
+    void resume() {
+        if (channel.isActive()) {
+            takeNext();
+            channel.flush();
+        }
+    }
+
+    private void release(Frame frame) {
+        door.limits.hold(-frame.content().readableBytes());
+        frame.release();
     }
 
     private void settle() {
         rpc = null;
         if (statement != null) {
-            statement.frame.release();
+            release(statement.frame);
             statement = null;
         }
     }
@@ -234,7 +244,7 @@
 
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         state = State.CLOSING;
-        ahead.forEach(Frame::release);
+        ahead.forEach(this::release);
         ahead.clear();
         if (rpc != null) {
             Rpc left = rpc;
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -48,6 +48,7 @@
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Set<String> complained = new HashSet<>();
     private final ArrayDeque<Consumer<Decider>> inputs = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private boolean inBatch;
     private ScheduledFuture<?> alarm;
     private int inHand;
@@ -78,13 +79,33 @@
         inBatch = true;
         try {
             while (!inputs.isEmpty()) {
-                decider.begin(clock.now());
-                inputs.pollFirst().accept(decider);
-                decider.end();
+                batch(inputs.pollFirst());
             }
         } finally {
             inBatch = false;
         }
+        while (!inBatch && !afterwards.isEmpty()) {
+            afterwards.pollFirst().run();
+        }
+    }
+
+    private void batch(Consumer<Decider> input) {
+        try {
+            decider.begin(clock.now());
+            input.accept(decider);
+            decider.end();
+        } catch (RuntimeException e) { // one RPC's fault must not take the others with it
+            counters.add("broken.decision");
+            logOnce("a decision failed: " + e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : ""));
+        }
+    }
+
+    /** Runs it once no batch is under way, and at once where none is. */
+    void afterwards(Runnable then) {
+        afterwards.addLast(then);
+        if (!inBatch) {
+            input(d -> { });
+        }
     }
 
     Method method(String name) {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -42,13 +42,14 @@
     private final long startedAt = clock.now();
     private boolean ready;
     private boolean stopping;
+    private boolean paused; // some sessions may not be read from, for want of memory
     private boolean listening;
     private Channel listener;
 
     /** Throws IllegalArgumentException where the settings are unfit. */
     public Gateway(Configuration configuration) {
         this.configuration = configuration;
-        limits = new Limits(configuration.sockets());
+        limits = new Limits(configuration.sockets(), configuration.memoryMb());
         int connectMillis = 60_000; // never reached: the pool's sweep ends what does not come up in time
         Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -61,6 +62,7 @@
         sweepEvery = Math.max(1_000_000, door.settings().allowed().connectTimeout() / 8);
         counters.gauge("client.open", limits::clientsOpen);
         counters.gauge("member.open", limits::membersOpen);
+        counters.gauge("client.heldbytes", limits::held);
     }
 
     /** Listens and follows discovery; the future is the address that clients connect to. */
@@ -105,6 +107,10 @@
         door.sweep(idleFor);
         discovery.sweep(now);
         checkReady(now);
+        if (!limits.full() && paused) {
+            new ArrayList<>(sessions).forEach(ClientSession::resume);
+        }
+        paused = limits.full();
         loop.schedule(this::sweep, sweepEvery, TimeUnit.NANOSECONDS);
     }
 
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -11,8 +11,11 @@
     final int waitingBytes; // what one client may send ahead
     private int clientsOpen;
     private int membersOpen;
+    private final long mayHold;
+    private long held;
 
-    Limits(int sockets) {
+    Limits(int sockets, int memoryMb) {
+        mayHold = memoryMb * 1024L * 1024 / 8;
         int ours = Math.max(16, sockets - OWN);
         clients = ours * 5 / 8;
         clientsWanted = clients * 7 / 8;
@@ -32,6 +35,20 @@
         return clientsOpen;
     }
 
+    /** Counts the bytes of clients' messages that are held until they are answered. */
+    void hold(int bytes) {
+        held += bytes;
+    }
+
+    /** Guards the memory told: above this nothing more is read from clients. */
+    boolean full() {
+        return held > mayHold;
+    }
+
+    long held() {
+        return held;
+    }
+
     boolean mayOpenMember() {
         return membersOpen < members;
     }
--- a/src/main/java/reedquay/net/Statement.java
+++ b/src/main/java/reedquay/net/Statement.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -125,8 +124,4 @@
     ByteBuf toMember(ByteBufAllocator allocator, long millis) {
         return Messages.query(allocator, frame, digitsFrom, digitsTo, millis);
     }
-
-    @Override public String toString() {
-        return ByteBufUtil.prettyHexDump(frame.content());
-    }
 }
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -72,6 +72,7 @@
             assertEquals(c.getOrDefault("rpc.taken", 0L), c.getOrDefault("rpc.ok", 0L)
                     + c.getOrDefault("rpc.pushedback", 0L) + c.getOrDefault("rpc.aborted", 0L)
                     + c.getOrDefault("rpc.clientgone", 0L) + c.get("rpc.inhand"), c.toString());
+            assertEquals(0, c.get("client.heldbytes"), c.toString());
             assertTrue(c.keySet().stream().noneMatch(n -> n.startsWith("broken")), c.toString());
         }
         world.close();
@@ -420,7 +421,7 @@
         JsonObject small = configuration();
         small.getAsJsonObject("limits").addProperty("sockets", 128);
         start(small);
-        Limits limits = new Limits(128);
+        Limits limits = new Limits(128, 192);
         List<Client> clients = new ArrayList<>(List.of(ready()));
         primary.fault = "silent";
         clients.get(0).send(Messages.query(Unpooled.buffer(), write(3000, "a")));
@@ -438,6 +439,29 @@
         }
     }
 
+    /** Statements held for answers stay within the memory told; what has no room is read later. */
+    @Test void memoryForHeldStatementsIsBounded() throws IOException {
+        JsonObject small = configuration();
+        small.getAsJsonObject("limits").addProperty("memory_mb", 8);
+        start(small);
+        ready().close();
+        primary.fault = "silent";
+        List<Client> clients = new ArrayList<>();
+        String big = write(600, "x".repeat(200_000));
+        for (int i = 0; i < 40; i++) {
+            Client client = new Client().startup();
+            client.send(Messages.query(Unpooled.buffer(), big));
+            clients.add(client);
+            assertTrue(count("client.heldbytes") < (1 << 20) + 300_000, "held " + count("client.heldbytes"));
+        }
+        for (Client client : clients) {
+            String got = client.answer();
+            assertTrue(got.equals("E:58000 Z") || got.startsWith("E:53300"), got);
+            client.close();
+        }
+        await(() -> count("client.heldbytes") == 0, "all is given back");
+    }
+
     @Test void eachRpcOfARandomRunGetsOneAnswer() throws Exception {
         ready().close();
         String[] faults = {"", "", "", "53300", "XX000", "reset", "silent", "half", "garbage", "72000", "crowded"};
