A member aside for long loses its idle connections; its trial goes on a new one

Why: a machine that vanished leaves idle connections open and silent, and resets them when it returns; a write that goes out on one may have run and is aborted. Checked on loopback: a primary that fell silent under two writes kept the connection that a late probe had left, and the next write used it. Only members that stay aside past the log's threshold lose theirs: a short silence is common and reopening costs the member.

--- a/src/main/java/reedquay/core/Effects.java
+++ b/src/main/java/reedquay/core/Effects.java
@@ -17,6 +17,9 @@
 
     void probe(Member member);
 
+    /** Connections to the member that carry nothing now are not to be used again. */
+    void closeIdle(Member member);
+
     void wakeIn(long delay);
 
     void subscribe();
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -260,6 +260,10 @@
                 now + settings.allowed().connectTimeout()));
     }
 
+    @Override public void closeIdle(Member member) {
+        ((Pool) member.front).dropIdle("aside");
+    }
+
     @Override public void wakeIn(long delay) {
         if (alarm != null) {
             alarm.cancel(false);
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -208,8 +208,7 @@
     private final Map<String, Share> shares = new HashMap<>(); // never walked through
     private final Share unlimited = new Share();
     private final Latency all;
-    private long counter, order, now, windowStart;
-    private long alarmAt = NEVER;
+    private long counter, order, now, windowStart, alarmAt = NEVER;
     private int oks, lastOks; // answers in this cold window and in the one before
 
     public Router(Settings settings, Effects effects) {
@@ -550,7 +549,7 @@
     private Node lead(Job job, Need need) {
         Node primary = job.group.primary;
         if (primary != null) {
-            return usable(primary) || primary.trialWait >= 4 * brisk && trial(primary) ? primary : null;
+            return usable(primary) || primary.reported && trial(primary) ? primary : null;
         }
         int most = Math.min(job.group.nodes.size(), allowed.callOuts() / 2);
         boolean wait = need == Need.FRESH || job.misses >= most;
@@ -740,6 +739,7 @@
         if (node.aside && node.open && now >= node.trialAt) {
             if (!node.reported && node.trialWait >= 4 * brisk) { // a line only where it lasts
                 effects.log(node.member.id + " is put aside");
+                effects.closeIdle(node.member); // its machine may come back and reset them
                 node.reported = true;
             }
             node.mayTry |= !allowed.probes();
--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -267,6 +267,10 @@
         out.append("SAMPLE ").append(member.id).append('\n');
     }
 
+    @Override public void closeIdle(Member member) {
+        // the simulator's connections are not the gateway's
+    }
+
     @Override public void wakeIn(long delay) {
         timed("SET_ALARM", delay).append(" 0\n");
     }
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -257,6 +257,22 @@
         }
     }
 
+    /** A machine that vanished leaves its connections open and silent: once it lasts none of them is used again. */
+    @Test void idleConnectionsToAMemberThatFellSilentAreDropped() throws IOException {
+        try (Client client = ready(); Client other = new Client().startup()) {
+            assertEquals("T D:a C Z", client.ask(write(3000, "a")));
+            primary.fault = "silent";
+            other.send(Messages.query(Unpooled.buffer(), write(700, "b")));
+            client.send(Messages.query(Unpooled.buffer(), write(700, "c")));
+            assertEquals("E:58000 Z", client.answer());
+            assertEquals("E:58000 Z", other.answer());
+            primary.fault = "";
+            await(() -> count("probe.OK") > 0, "a probe comes back and leaves an idle connection");
+            await(() -> count("member.closed.aside") > 0, "which is closed when the member stays aside");
+            assertEquals("T D:d C Z", client.ask(write(3000, "d")));
+        }
+    }
+
     @Test void clientThatLeavesEndsItsCallOut() throws IOException {
         Client client = ready();
         assertEquals("T D:a C Z", client.ask(write(3000, "a")));
--- a/src/test/java/reedquay/route/Gate.java
+++ b/src/test/java/reedquay/route/Gate.java
@@ -163,6 +163,10 @@
         did.add(now + " probe " + member.id);
     }
 
+    @Override public void closeIdle(Member member) {
+        did.add(now + " close idle " + member.id);
+    }
+
     @Override public void wakeIn(long delay) {
         alarm = now + delay / 1000 * 1000; // a coarser clock rings a little early
     }
