No storm of watches on unreadable lists, no name look-ups, timer lateness in coarse bins

Looked for by reading, each met in a test: a list that cannot be read reset the growing wait, so the watch would open ten times a second; a hostPort with a name would have blocked the event loop in a look-up; a member listed without an address failed in the pool.

--- a/src/main/java/reedquay/net/Configuration.java
+++ b/src/main/java/reedquay/net/Configuration.java
@@ -5,8 +5,10 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.math.BigInteger;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -55,7 +57,12 @@
         if (colon < 0) {
             throw new IllegalArgumentException("expected host:port instead of " + text);
         }
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        // guards the event loop: a name would be looked up, and block it
+        InetAddress host = NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        if (host == null) {
+            throw new IllegalArgumentException("expected an address instead of a name in " + text);
+        }
+        return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
     }
 
     /** Nested values as pairs of path and value, in the form of the simulator's first message. */
--- a/src/main/java/reedquay/net/Counters.java
+++ b/src/main/java/reedquay/net/Counters.java
@@ -6,6 +6,10 @@
 
 /** Counts by name what a gateway takes in, sends and answers; used on its event loop alone. */
 public final class Counters {
+    private static final long[] LATE_MILLIS = {2, 5, 20, 100};
+    private static final String[] LATE_NAMES = {"loop.late.to2ms", "loop.late.to5ms", "loop.late.to20ms",
+        "loop.late.to100ms", "loop.late.over100ms"};
+
     private final Map<String, long[]> counts = new TreeMap<>();
     private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
@@ -17,9 +21,13 @@
         counts.computeIfAbsent(name, n -> new long[1])[0] += by;
     }
 
-    void most(String name, long value) {
-        long[] count = counts.computeIfAbsent(name, n -> new long[1]);
-        count[0] = Math.max(count[0], value);
+    /** How late a timer of the event loop rang, in a few coarse bins. */
+    void late(long nanos) {
+        int bin = 0;
+        while (bin < LATE_MILLIS.length && nanos >= LATE_MILLIS[bin] * 1_000_000) {
+            bin++;
+        }
+        add(LATE_NAMES[bin]);
     }
 
     /** What is read when the counters are asked for. */
--- a/src/main/java/reedquay/net/Discovery.java
+++ b/src/main/java/reedquay/net/Discovery.java
@@ -106,11 +106,11 @@
     }
 
     private void line(String text) {
-        if (text.isBlank()) {
-            return;
-        }
         try {
-            take(JsonParser.parseString(text).getAsJsonObject(), false);
+            if (!text.isBlank()) {
+                take(JsonParser.parseString(text).getAsJsonObject(), false);
+            }
+            wait = FIRST_WAIT; // only what can be read ends the growing waits, else nonsense would bring a storm
         } catch (JsonParseException | IllegalStateException | ClassCastException | IllegalArgumentException
                 | UnsupportedOperationException e) {
             door.counters.add("discovery.unreadable");
@@ -194,7 +194,6 @@
                 }
                 if (message instanceof HttpContent content && watch == this && lines != null) {
                     heardAt = door.clock.now();
-                    wait = FIRST_WAIT;
                     lines.writeBytes(content.content());
                     cut();
                 }
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -271,7 +271,7 @@
         long at = clock.now() + delay;
         alarm = loop.schedule(() -> {
             alarm = null;
-            counters.most("loop.late.us", (clock.now() - at) / 1000);
+            counters.late(clock.now() - at);
             input(d -> { });
         }, delay, TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/reedquay/net/Pool.java
+++ b/src/main/java/reedquay/net/Pool.java
@@ -57,8 +57,8 @@
     }
 
     private boolean open() {
-        if (!door.limits.mayOpenMember() && !door.closeIdle()) {
-            return false;
+        if (address == null || !door.limits.mayOpenMember() && !door.closeIdle()) {
+            return false; // no list has said where, or no descriptor is left
         }
         door.limits.memberOpened();
         door.counters.add("member.opened");
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -378,10 +378,13 @@
             await(() -> count("discovery.lists") > lists, "and read");
             world.tellRaw("{\"generation\":5,\"instances\":[{]}\n");
             await(() -> world.watched.size() == 3, "nonsense ends a watch, not the gateway");
+            world.tellRaw("{\"instances\":[{\"instanceId\":\"one\",\"lifecycle\":\"ready\","
+                    + "\"hostPort\":\"a.b:1\"}]}\n");
+            await(() -> world.watched.size() == 4, "a name is no address");
             assertEquals("T D:c C Z", client.ask(write(3000, "c")));
             world.discoverySilent = true;
             world.endWatches();
-            await(() -> world.watched.size() == 4, "a silent one is opened as well");
+            await(() -> world.watched.size() == 5, "a silent one is opened as well");
             assertEquals("T D:d C Z", client.ask(write(3000, "d")));
         }
     }
@@ -535,8 +538,10 @@
     }
 
     @Test void configurationThatCannotBeReadIsNamed() {
-        for (String bad : List.of("{", "[]", "{}", "{\"listen\":\"x\",\"settings\":{},\"discovery\":\"a:1\"}",
-                "{\"listen\":\"a:1\",\"discovery\":\"a:1\",\"settings\":{},\"seed\":\"zz\"}")) {
+        for (String bad : List.of("{", "[]", "{}",
+                "{\"listen\":\"localhost:1\",\"settings\":{},\"discovery\":\"127.0.0.1:1\"}",
+                "{\"listen\":\"x\",\"settings\":{},\"discovery\":\"a:1\"}",
+                "{\"listen\":\"127.0.0.1:1\",\"discovery\":\"127.0.0.1:1\",\"settings\":{},\"seed\":\"zz\"}")) {
             assertThrows(IllegalArgumentException.class, () -> Configuration.parse(bad), bad);
         }
         JsonObject wrong = configuration();
