--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -406,10 +406,16 @@
     /** The front sends clients after the first empty query is answered. */
     @Test void emptyQueryIsAnsweredOnceTheListIsKnown() throws IOException {
         world.discoverySilent = true;
-        start(configuration());
-        try (Client client = new Client().startup()) {
+        JsonObject patient = configuration();
+        patient.getAsJsonObject("settings").getAsJsonObject("Allowed").addProperty("ConnectTimeout", 5000.0);
+        start(patient);
+        try (Client client = new Client().startup(); Client other = new Client().startup()) {
             client.send(Messages.query(Unpooled.buffer(), ""));
             await(() -> !world.watched.isEmpty(), "the watch is open");
+            for (int i = 0; i < 3; i++) { // the loop has met the empty query by now
+                assertTrue(other.ask("SHOW counters").startsWith("T D:"));
+            }
+            assertEquals(0, client.in.available(), "answered without a list");
             world.discoverySilent = false;
             world.tell();
             assertEquals("I Z", client.answer());
