RPCs sent ahead and refused at once no longer nest one call into the next

Found by reading: each RPC refused at once resumed its session from within the call that had taken it, so a client that sends thousands ahead could overflow the stack. At fault: Door's loop over what follows a batch, which could be entered from within itself.

--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -50,6 +50,7 @@
     private final ArrayDeque<Consumer<Decider>> inputs = new ArrayDeque<>();
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private boolean inBatch;
+    private boolean goingOn; // what came afterwards is being run
     private ScheduledFuture<?> alarm;
     private int inHand;
     private int probesOut;
@@ -84,8 +85,16 @@
         } finally {
             inBatch = false;
         }
-        while (!inBatch && !afterwards.isEmpty()) {
-            afterwards.pollFirst().run();
+        if (goingOn) {
+            return; // guards the stack: whoever sends many RPCs ahead would nest one call into the next
+        }
+        goingOn = true;
+        try {
+            while (!afterwards.isEmpty()) {
+                afterwards.pollFirst().run();
+            }
+        } finally {
+            goingOn = false;
         }
     }
 
@@ -100,12 +109,9 @@
         }
     }
 
-    /** Runs it once no batch is under way, and at once where none is. */
+    /** Runs it behind the batch that is under way or is about to begin: an answer is told to the decisions first. */
     void afterwards(Runnable then) {
         afterwards.addLast(then);
-        if (!inBatch) {
-            input(d -> { });
-        }
     }
 
     Method method(String name) {
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -302,6 +302,21 @@
         }
     }
 
+    /** Thousands of RPCs sent ahead and refused at once went one call deeper each. */
+    @Test void manyRpcsSentAheadAndRefusedAtOnceAreAnsweredOneByOne() throws IOException {
+        try (Client client = ready()) {
+            ByteBuf all = Unpooled.buffer();
+            for (int i = 0; i < 6000; i++) {
+                Messages.query(all, "/* id=" + Integer.toHexString(i) + ",c=history,d=900,cluster=9 */ x");
+            }
+            client.send(all);
+            for (int i = 0; i < 6000; i++) {
+                assertEquals("E:53300:100 Z", client.answer());
+            }
+            assertEquals("T D: C Z", client.ask(read("history", 1000)));
+        }
+    }
+
     @Test void whatCannotBeRoutedIsAnErrorAndTheSessionGoesOn() throws IOException {
         try (Client client = ready()) {
             for (String bad : List.of("SELECT 1", "/* */ SELECT 1", "/* id=1,c=order,d=5 */ SELECT 1",
