The guard against nested calls has a test that fails without it; docs follow the text

Measured: six thousand RPCs sent ahead by one client do not overflow the stack without the guard, not even at 256 KB, since the channel's write limit ends the nesting after some hundreds; so that test shows order and count alone. Many sessions going on at once have no such limit: a chain of 200,000 on the door overflows without the guard and is flat with it.

--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.Timeout;
 import reedquay.pg.Frame;
 import reedquay.pg.Messages;
+import reedquay.route.Router;
 
 /** A gateway whole on loopback, against the stand-in of the example folder. */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -302,7 +303,24 @@
         }
     }
 
-    /** Thousands of RPCs sent ahead and refused at once went one call deeper each. */
+    /** Sessions that go on after a batch take RPCs whose batches let others go on: one by one, not nested. */
+    @Test void whatFollowsABatchIsNotNested() {
+        Configuration told = Configuration.parse(configuration().toString());
+        Door door = new Door(null, null, new Clock(), new Limits(128, 192), new Counters(), told.settings(), 1,
+                Router::new);
+        int[] runs = new int[1];
+        Runnable[] next = new Runnable[1];
+        next[0] = () -> {
+            if (++runs[0] < 200_000) {
+                door.afterwards(next[0]);
+                door.input(d -> { });
+            }
+        };
+        door.afterwards(next[0]);
+        door.input(d -> { });
+        assertEquals(200_000, runs[0]);
+    }
+
     @Test void manyRpcsSentAheadAndRefusedAtOnceAreAnsweredOneByOne() throws IOException {
         try (Client client = ready()) {
             ByteBuf all = Unpooled.buffer();
