--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -422,6 +422,20 @@
         }
     }
 
+    /** Where probes carry load reports they are asked for, and a bounded read needs no answer before it. */
+    @Test void loadReportsOfProbesShowPositions() throws IOException {
+        JsonObject told = configuration();
+        told.getAsJsonObject("settings").add("Report",
+                JsonParser.parseString("{\"How\": \"pull\", \"Names\": [\"x0\", \"x1\"]}"));
+        start(told);
+        try (Client client = ready()) {
+            assertEquals(List.of("SHOW server_load"), world.server("two").probes);
+            assertEquals("T D: C Z", client.ask(read("catalogue", 1500)));
+            assertEquals(List.of(), primary.statements);
+            assertEquals(0, count("member.report.unreadable"));
+        }
+    }
+
     @Test void drainingMemberGetsNothingNewOnOpenConnections() throws IOException {
         try (Client client = ready()) {
             world.server("two").lifecycle = "draining";
