SIGHUP takes on a new configuration: the discovery watch moves, the gateway goes on

Checked: Main sets a handler for nothing but the JVM's own shutdown, and the JVM ends on SIGHUP by its shutdown hooks, which is the orderly stop; nothing in Gateway or Discovery could take another address. Ruled out: a crash of its own (no trace in the logs, counters printed).

Change: Main turns SIGHUP into Gateway.reload, which reads the file off the event loop. Discovery opens a watch at the new address while the old one still tells, leaves the old one at the first thing the new one says, passes over changes older than the list it has. A file that cannot be used changes nothing; what needs a restart is logged.

--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -52,7 +52,7 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final List<Fact> log = new ArrayList<>();
     private final Set<Channel> watches = new LinkedHashSet<>();
-    private final Channel discovery;
+    private Channel discovery;
     private final long beatMillis;
     private long lastCommit;
     private long generation;
@@ -68,11 +68,7 @@
             servers.put(name, server);
             server.start(0);
         }
-        discovery = listen(discoveryPort, new ChannelInitializer<Channel>() {
-            @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec(), new Watch());
-            }
-        });
+        moveDiscovery(discoveryPort);
         group.next().scheduleAtFixedRate(() -> {
             if (!discoverySilent) {
                 watches.forEach(w -> line(w, ""));
@@ -80,6 +76,25 @@
         }, beatMillis, beatMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Discovery listens at another port, 0 for any; the old one takes no new watch and keeps those it has. */
+    public void moveDiscovery(int port) {
+        if (discovery != null) {
+            discovery.close().syncUninterruptibly();
+        }
+        discovery = listen(port, new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpServerCodec(), new Watch());
+            }
+        });
+    }
+
+    /** How many watches are open. */
+    public int watches() {
+        int[] count = new int[1];
+        run(() -> count[0] = watches.size());
+        return count[0];
+    }
+
     public Server server(String name) {
         return servers.get(name);
     }
--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -7,6 +7,7 @@
 import reedquay.net.Gateway;
 import reedquay.net.Rehearsal;
 import reedquay.sim.SimHost;
+import sun.misc.Signal;
 
 /** Starts the front named on the command line. */
 public final class Main {
@@ -35,6 +36,8 @@
                 System.out.flush();
                 Runtime.getRuntime().halt(0); // a stop that was asked for is no failure
             }));
+            // guards against the JVM's own way with this signal, which is to end
+            Signal.handle(new Signal("HUP"), signal -> gateway.reload(Path.of(config)));
             System.out.println("listening on " + gateway.start().join());
         } catch (IOException | RuntimeException e) {
             System.err.println("reedquay: cannot start: " + e.getMessage());
--- a/src/main/java/reedquay/core/SettingsReader.java
+++ b/src/main/java/reedquay/core/SettingsReader.java
@@ -51,6 +51,14 @@
                         number("Deductions.LateFail", 0)));
     }
 
+    @Override public boolean equals(Object other) {
+        return other instanceof SettingsReader that && values.equals(that.values);
+    }
+
+    @Override public int hashCode() {
+        return values.hashCode();
+    }
+
     /** Reads load reports and positions, which count from the given zero. */
     public Reports reports(long zero) {
         return new Reports(list("Report.Names"), zero);
--- a/src/main/java/reedquay/net/Configuration.java
+++ b/src/main/java/reedquay/net/Configuration.java
@@ -12,6 +12,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import reedquay.core.SettingsReader;
@@ -44,6 +46,24 @@
         }
     }
 
+    /** What the next one changes that a running gateway cannot, in words; empty for nothing. */
+    String needsRestartFor(Configuration next) {
+        List<String> unlike = new ArrayList<>();
+        if (!name.equals(next.name)) {
+            unlike.add("name");
+        }
+        if (!listen.equals(next.listen)) {
+            unlike.add("listen");
+        }
+        if (memoryMb != next.memoryMb || sockets != next.sockets) {
+            unlike.add("limits");
+        }
+        if (!settings.equals(next.settings)) {
+            unlike.add("settings");
+        }
+        return String.join(", ", unlike);
+    }
+
     private static JsonElement needed(JsonObject all, String name) {
         if (!all.has(name)) {
             throw new IllegalArgumentException("the configuration lacks " + name);
--- a/src/main/java/reedquay/net/Discovery.java
+++ b/src/main/java/reedquay/net/Discovery.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -27,7 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import reedquay.core.Listed;
 
-/** Follows the list of members: one watch at a time, opened again where it ends or falls silent. */
+/** Follows the list of members: one watch that tells, and the one that is to take its place where there is need. */
 final class Discovery {
     private static final long BEAT = 2_000_000_000; // an empty line comes that often while nothing changes
     private static final long SILENCE = 3 * BEAT;
@@ -35,13 +36,15 @@
     private static final int LONGEST_LINE = 4 << 20;
 
     private final Door door;
-    private final InetSocketAddress address;
     private final Bootstrap bootstrap;
     private final EventLoop loop;
+    private InetSocketAddress address;
     private long generation = -1;
-    private Watch watch;
+    private Watch watch; // the one that tells, until another has told
+    private Watch next; // being opened, always to the present address
+    private ScheduledFuture<?> opening;
     private long wait = FIRST_WAIT;
-    private boolean told;
+    private boolean heard;
     private boolean closed;
 
     Discovery(Door door, InetSocketAddress address, Bootstrap bootstrap, EventLoop loop) {
@@ -53,7 +56,7 @@
 
     /** Whether discovery itself has told a list since the start. */
     boolean told() {
-        return told;
+        return heard;
     }
 
     /** The list as this gateway last had it. */
@@ -62,66 +65,115 @@
     }
 
     void open() {
-        if (closed) {
+        opening = null;
+        if (closed || next != null) {
             return;
         }
         door.counters.add("discovery.watches");
-        Watch next = new Watch();
-        watch = next;
+        Watch made = new Watch(address);
+        next = made;
         bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), next);
+                channel.pipeline().addLast(new HttpClientCodec(), made);
             }
         }).connect(address).addListener(f -> {
             if (!f.isSuccess()) {
-                again(next);
+                ended(made);
             }
         });
     }
 
+    /**
+     * The list comes from another address from now on. Guards the list we have: the old watch goes on until the new
+     * one has told something, since the new address may be dead and the old one still has something to say.
+     */
+    void moveTo(InetSocketAddress where) {
+        if (where.equals(address) || closed) {
+            return;
+        }
+        door.counters.add("discovery.moves");
+        address = where;
+        wait = FIRST_WAIT;
+        Watch dropped = next;
+        next = null;
+        if (dropped != null) {
+            dropped.close();
+        }
+        if (opening != null) {
+            opening.cancel(false);
+            opening = null;
+        }
+        if (watch == null || !watch.address.equals(where)) {
+            open();
+        }
+    }
+
     /** Opens the watch anew after a wait that grows while nothing comes, so that no storm arises. */
-    private void again(Watch ended) {
-        if (ended != watch || closed) {
+    private void ended(Watch gone) {
+        watch = gone == watch ? null : watch;
+        next = gone == next ? null : next;
+        boolean served = next != null || watch != null && watch.address.equals(address);
+        if (served || opening != null || closed) {
             return;
         }
-        watch = null;
-        long delay = wait;
+        opening = loop.schedule(this::open, wait, TimeUnit.NANOSECONDS);
         wait = Math.min(2 * wait, BEAT);
-        loop.schedule(this::open, delay, TimeUnit.NANOSECONDS);
+    }
+
+    /** The first that the new watch tells ends the old one: a late line of it can't undo what the new one says. */
+    private void told(Watch by) {
+        if (by == next) {
+            Watch old = watch;
+            watch = by;
+            next = null;
+            if (old != null) {
+                old.close();
+            }
+        }
+        wait = FIRST_WAIT; // only what can be read ends the growing waits, else nonsense would bring a storm
     }
 
     /** Guards against a watch that stays open and says nothing, not even its empty lines. */
     void sweep(long now) {
-        if (watch != null && now - watch.heardAt >= SILENCE) {
-            door.counters.add("discovery.silent");
-            watch.close();
+        for (Watch each : new Watch[] {watch, next}) {
+            if (each != null && now - each.heardAt >= SILENCE) {
+                door.counters.add("discovery.silent");
+                each.close();
+            }
         }
     }
 
     void close() {
         closed = true;
-        if (watch != null) {
-            watch.close();
+        for (Watch each : new Watch[] {watch, next}) {
+            if (each != null) {
+                each.close();
+            }
         }
     }
 
-    private void line(String text) {
+    private void line(Watch from, String text) {
         try {
             if (!text.isBlank()) {
                 take(JsonParser.parseString(text).getAsJsonObject(), false);
             }
-            wait = FIRST_WAIT; // only what can be read ends the growing waits, else nonsense would bring a storm
+            told(from);
         } catch (JsonParseException | IllegalStateException | ClassCastException | IllegalArgumentException
                 | UnsupportedOperationException e) {
             door.counters.add("discovery.unreadable");
             door.logOnce("discovery sent a list that cannot be read; the last one stays");
-            watch.close();
+            from.close();
         }
     }
 
     private void take(JsonObject list, boolean remembered) {
         JsonArray instances = list.getAsJsonArray("instances");
         boolean full = remembered || list.has("reset") && list.get("reset").getAsBoolean();
+        long told = list.has("generation") ? list.get("generation").getAsLong() : generation;
+        if (!full && told < generation) {
+            door.counters.add("discovery.older"); // another address has told what came after it
+            return;
+        }
         List<Listed> entries = new ArrayList<>();
         List<Runnable> moves = new ArrayList<>();
         if (instances == null) {
@@ -133,9 +185,9 @@
                 entries.add(entry);
             }
         }
-        generation = list.has("generation") ? list.get("generation").getAsLong() : generation;
+        generation = told;
         moves.forEach(Runnable::run);
-        told |= !remembered;
+        heard |= !remembered;
         door.counters.add("discovery.lists");
         door.listed(remembered ? Listed.ListKind.REMEMBERED : full ? Listed.ListKind.FULL
                 : Listed.ListKind.CHANGES, entries);
@@ -170,10 +222,19 @@
 
     /** One watch: a chunked answer of one JSON object a line. */
     private final class Watch extends ChannelInboundHandlerAdapter {
+        final InetSocketAddress address;
         long heardAt = door.clock.now();
         private Channel channel;
         private ByteBuf lines;
 
+        Watch(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        private boolean wanted() {
+            return this == watch || this == next;
+        }
+
         @Override public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
         }
@@ -192,7 +253,7 @@
                     door.counters.add("discovery.refused");
                     close();
                 }
-                if (message instanceof HttpContent content && watch == this && lines != null) {
+                if (message instanceof HttpContent content && wanted() && lines != null) {
                     heardAt = door.clock.now();
                     lines.writeBytes(content.content());
                     cut();
@@ -203,11 +264,11 @@
         }
 
         private void cut() {
-            for (int end = lines.bytesBefore((byte) '\n'); end >= 0 && watch == this;
+            for (int end = lines.bytesBefore((byte) '\n'); end >= 0 && wanted();
                     end = lines.bytesBefore((byte) '\n')) {
                 String text = lines.readCharSequence(end, StandardCharsets.UTF_8).toString();
                 lines.skipBytes(1);
-                line(text);
+                line(this, text);
             }
             if (lines.readableBytes() > LONGEST_LINE) {
                 door.logOnce("discovery sent a line beyond all measure");
@@ -220,7 +281,7 @@
             if (channel != null) {
                 channel.close();
             }
-            again(this);
+            ended(this);
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
@@ -228,7 +289,7 @@
                 lines.release();
                 lines = null;
             }
-            again(this);
+            ended(this);
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -9,19 +9,23 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import reedquay.core.Method;
 import reedquay.pg.FrameDecoder;
 import reedquay.route.Router;
 
-/** A gateway on sockets: built from a configuration, started, stopped. All of it runs on one event loop. */
+/** A gateway on sockets: built from a configuration, started, given a new one, stopped. It runs on one event loop. */
 public final class Gateway {
     private static final int BACKLOG = 1024;
 
@@ -132,6 +136,49 @@
         }
     }
 
+    // ---- New configurations ----
+
+    /**
+     * Reads a configuration that replaced the one this gateway runs with, on the caller's thread, and takes it on.
+     * Guards the gateway that runs: a file that is missing, half written or unfit changes nothing.
+     */
+    public CompletableFuture<Boolean> reload(Path file) {
+        try {
+            return reload(Configuration.read(file));
+        } catch (IOException | RuntimeException e) {
+            return onLoop(() -> {
+                counters.add("reload.unfit");
+                door.log("a new configuration cannot be used, the running one stays: " + e.getMessage());
+                return false;
+            });
+        }
+    }
+
+    /** Takes on what can change while running; false where something in it needs a restart, which is logged. */
+    public CompletableFuture<Boolean> reload(Configuration next) {
+        return onLoop(() -> {
+            counters.add("reload");
+            discovery.moveTo(next.discovery());
+            String unlike = configuration.needsRestartFor(next);
+            if (!unlike.isEmpty()) {
+                counters.add("reload.restart");
+                door.log("the new configuration has another " + unlike + ": that needs a restart and is passed over");
+            }
+            return unlike.isEmpty();
+        });
+    }
+
+    /** False, and nothing is run, once this gateway has stopped. */
+    private CompletableFuture<Boolean> onLoop(Supplier<Boolean> change) {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        try {
+            loop.execute(() -> done.complete(change.get()));
+        } catch (RejectedExecutionException e) {
+            done.complete(false); // the loop has ended: there is nothing left to change
+        }
+        return done;
+    }
+
     // ---- Sessions ----
 
     void opened(ClientSession session) {
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -422,6 +422,81 @@
         }
     }
 
+    private static Path file(JsonObject config) throws IOException {
+        Path file = Files.createTempFile("reedquay", ".json");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, config.toString());
+    }
+
+    /** The old watch serves until the new one has told; what can't be used or changed leaves all as it is. */
+    @Test void newConfigurationMovesDiscoveryWithoutLosingTheList() throws IOException {
+        JsonObject config = configuration();
+        start(config);
+        try (Client client = ready()) {
+            primary.fault = "silent";
+            client.send(Messages.query(Unpooled.buffer(), write(3000, "a")));
+            await(() -> primary.statements.size() == 1, "an RPC is in hand");
+            int old = world.discovery().getPort();
+            config.addProperty("discovery", "127.0.0.1:" + Configuration.address("127.0.0.1:1").getPort());
+            assertTrue(gateway.reload(file(config)).join());
+            await(() -> count("discovery.watches") >= 3, "nobody is there, it is tried again");
+            long lists = count("discovery.lists");
+            world.tell("two");
+            await(() -> count("discovery.lists") > lists, "the old one still tells");
+            world.tellRaw("{\"generation\":0,\"instances\":[]}\n");
+            await(() -> count("discovery.older") == 1, "what is older than the list is passed over");
+            world.moveDiscovery(0);
+            config.addProperty("discovery", "127.0.0.1:" + world.discovery().getPort());
+            for (int i = 0; i < 3; i++) {
+                assertTrue(gateway.reload(file(config)).join());
+            }
+            await(() -> world.watched.size() == 2, "the new one is watched");
+            assertEquals("/discovery/hosts?follow=1&since=1", world.watched.get(1));
+            await(() -> world.watches() == 1, "and the old one is left");
+            for (String bad : List.of("", "{\"listen\":", "{}")) {
+                assertFalse(gateway.reload(Files.writeString(file(config), bad)).join());
+            }
+            assertFalse(gateway.reload(Path.of("nowhere.json")).join());
+            assertEquals(4, count("reload.unfit"));
+            config.addProperty("name", "other");
+            config.addProperty("discovery", "127.0.0.1:" + old);
+            assertFalse(gateway.reload(file(config)).join(), "a name needs a restart");
+            world.moveDiscovery(old);
+            await(() -> world.watched.size() == 3 && world.watches() == 1, "discovery does not");
+            assertEquals("E:58000 Z", client.answer());
+            gateway.stop().join();
+            assertFalse(gateway.reload(file(config)).join(), "a stopped one takes nothing on");
+        }
+    }
+
+    /** SIGHUP is a new configuration and not the end, SIGTERM right behind it the orderly end. */
+    @Test void signalsReachTheGateway() throws Exception {
+        JsonObject config = configuration();
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:" + world.discovery().getPort());
+        Path file = file(config);
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "reedquay.Main", "serve", file.toString())
+                .redirectErrorStream(true).start();
+        try (var out = process.inputReader()) {
+            for (String line = ""; !line.startsWith("listening on"); line = out.readLine()) {
+                assertNotNull(line, "it starts");
+            }
+            await(() -> world.watches() == 1, "it watches");
+            world.moveDiscovery(0);
+            config.addProperty("discovery", "127.0.0.1:" + world.discovery().getPort());
+            Files.writeString(file, config.toString());
+            assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
+            await(() -> world.watched.size() == 2, "it watches the new one");
+            new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+            process.toHandle().destroy();
+            assertTrue(out.lines().anyMatch(l -> l.startsWith("counters") && l.contains("discovery.moves=1")));
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     /** Where probes carry load reports they are asked for, and a bounded read needs no answer before it. */
     @Test void loadReportsOfProbesShowPositions() throws IOException {
         JsonObject told = configuration();
