Only whole, well-formed answers are served, and nothing is sent behind one until it settled

Checked in the source: MemberConnection.channelRead took any T, D, C in any order and number as an answer and never looked inside; readyForQuery gave the connection to the next send while a second copy could still stand in the decoder or the kernel, and that copy passed for the next answer. Door called each spoilt answer a reset, so Router.health rested its member, one after the other, though all servers spoil alike. Ruled out: positions (a future one was already cut to the clock, but stood for a fresh one; it is unreadable now).

Change: one T of one column, one D whose value fits, one C, texts ended, in that order, or the call-out is SPOILT: an outcome of its own that may have run and that rests nobody (one word in Router.health). A misfit is refused at the row's header. After ReadyForQuery a connection settles for a tick, by one timer for all; whatever comes ends it.

--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -49,6 +49,7 @@
     private final Set<String> complained = new HashSet<>();
     private final ArrayDeque<Consumer<Decider>> inputs = new ArrayDeque<>();
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
+    private final ArrayDeque<MemberConnection> settling = new ArrayDeque<>(); // those that have answered, in order
     private boolean inBatch;
     private boolean goingOn; // what came afterwards is being run
     private ScheduledFuture<?> alarm;
@@ -296,6 +297,32 @@
 
     // ---- What connections ask for ----
 
+    /** The connection is told a tick later that it has settled: one timer for all, whatever is under way. */
+    void settle(MemberConnection connection) {
+        connection.idleSince = clock.now() + settings.tick();
+        settling.addLast(connection);
+        if (settling.size() == 1) {
+            loop.schedule(this::settled, settings.tick(), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void settled() {
+        long now = clock.now();
+        while (!settling.isEmpty() && settling.peekFirst().idleSince <= now) {
+            settling.pollFirst().settled();
+        }
+        if (!settling.isEmpty()) {
+            loop.schedule(this::settled, settling.peekFirst().idleSince - now, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** Guards against reading stale data: a position well ahead of the clock would stand for a fresh one. */
+    boolean credible(long millis) {
+        boolean is = millis >= 0 && millis - clock.now() / 1_000_000 <= settings.allowed().connectTimeout() / 1_000_000;
+        counters.add("member.position.unreadable", is ? 0 : 1);
+        return is;
+    }
+
     ByteBuf query(Send send, ByteBufAllocator allocator) {
         Rpc rpc = send.callOut.rpc;
         long left = Math.max(1, (send.until - clock.now()) / 1_000_000);
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -11,22 +11,28 @@
 import reedquay.core.Report;
 import reedquay.core.Role;
 import reedquay.pg.Frame;
+import reedquay.pg.FrameDecoder;
 import reedquay.pg.Messages;
 
 /** One connection to a member; carries one send at a time. */
 final class MemberConnection extends ChannelInboundHandlerAdapter {
-    enum State { OPENING, IDLE, RESERVED, BUSY, CLOSED }
+    enum State { OPENING, SETTLING, IDLE, RESERVED, BUSY, CLOSED }
+
+    private static final String ANSWER = "TDC"; // row description, row, completion: an answer is these, once each
 
     /** What came back for a send, up to ReadyForQuery. */
     static final class Answer {
-        final List<Frame> frames = new ArrayList<>(3); // row description, row, completion
-        boolean complete;
+        final List<Frame> frames = new ArrayList<>(ANSWER.length());
         String error; // its SQLSTATE
         Role role = Role.UNKNOWN;
         long millis;
         boolean positioned;
         String load;
 
+        boolean complete() {
+            return frames.size() == ANSWER.length();
+        }
+
         void release() {
             frames.forEach(ReferenceCountUtil::release);
             frames.clear();
@@ -36,12 +42,14 @@
     private final Door door;
     final Pool pool;
     final long openedAt;
+    final FrameDecoder decoder = FrameDecoder.ofServer(Limits.LONGEST_MESSAGE);
     State state = State.OPENING;
     long idleSince;
     Send send;
     private Channel channel;
     private Answer answer = new Answer();
     private boolean written;
+    private boolean spoilt;
     private Outcome whyNot = Outcome.NO_CONNECTION; // what waits for this connection gets if it never comes up
 
     MemberConnection(Door door, Pool pool, long openedAt) {
@@ -81,25 +89,35 @@
         Frame frame = (Frame) message;
         boolean kept = false;
         try {
+            if (state == State.CLOSED) {
+                return; // what stood behind the breach
+            }
             switch (frame.type) {
                 case 'T', 'D', 'C' -> {
-                    if (state != State.BUSY || answer.complete) {
-                        breach("an answer that nothing asked for");
+                    // guards against passing on what no member made: nothing is left out, twice, or out of its order
+                    if (state != State.BUSY || answer.error != null || answer.complete()
+                            || ANSWER.charAt(answer.frames.size()) != frame.type || !frame.wellFormed()) {
+                        breach("an answer that is spoilt, or that nothing asked for");
                         return;
                     }
-                    answer.complete = frame.type == 'C';
                     answer.frames.add(frame);
                     kept = true;
                 }
-                case 'E' -> error(frame.fields().getOrDefault('C', ""));
-                case 'S' -> parameter(frame);
+                case 'E' -> error(frame);
+                case 'S', 'N' -> {
+                    if (state == State.BUSY && frame.type == 'S') {
+                        parameter(frame);
+                    } else if (state != State.BUSY && state != State.OPENING) {
+                        breach("more than the answer");
+                    }
+                }
                 case 'Z' -> readyForQuery();
                 case 'R' -> {
                     if (state != State.OPENING || frame.bodyLength() < 4 || frame.content().getInt(frame.body()) != 0) {
                         breach("a request for authentication that is not known here");
                     }
                 }
-                case 'K', 'N', 'I' -> { }
+                case 'K' -> { }
                 default -> breach("a message that answers no simple query");
             }
         } finally {
@@ -109,14 +127,17 @@
         }
     }
 
-    private void error(String code) {
+    private void error(Frame frame) {
+        String code = frame.wellFormed() ? frame.fields().getOrDefault('C', "") : "";
         if (state == State.OPENING) {
             whyNot = code.equals("53300") ? Outcome.FULL : Outcome.NO_CONNECTION;
             channel.close();
-        } else if (state == State.BUSY) {
-            answer.error = code;
+        } else if (state != State.BUSY) {
+            close(); // it says why it is about to close
+        } else if (code.isEmpty() || answer.error != null || answer.complete()) {
+            breach("an error that is spoilt");
         } else {
-            channel.close(); // it says why it is about to close
+            answer.error = code;
         }
     }
 
@@ -129,7 +150,7 @@
         } else if (name.equals("replay_position")) {
             try {
                 answer.millis = Long.parseLong(value.strip());
-                answer.positioned = true;
+                answer.positioned = door.credible(answer.millis);
             } catch (NumberFormatException e) {
                 door.counters.add("member.position.unreadable");
             }
@@ -141,9 +162,9 @@
     private void readyForQuery() {
         if (state == State.OPENING) {
             pool.cameUp();
-            idle();
+            settled();
         } else if (state == State.BUSY) {
-            if (!answer.complete && answer.error == null) {
+            if (!answer.complete() && answer.error == null) {
                 breach("ready for a query without an answer to the last one");
                 return;
             }
@@ -151,30 +172,42 @@
             Answer whole = answer;
             answer = new Answer();
             send = null;
-            state = State.IDLE;
+            state = State.SETTLING;
             door.answered(finished, whole);
-            if (channel.isActive()) {
-                idle();
-            }
+            door.settle(this);
         } else {
             breach("ready for a query twice");
         }
     }
 
-    private void idle() {
+    /**
+     * Free again, if nothing came behind the last answer. Guards against the gravest mistake, a second copy of one
+     * answer that passes for the answer to the next statement: it is waited for, what comes ends the connection
+     */
+    void settled() {
+        if (state == State.CLOSED || !channel.isActive()) {
+            return;
+        }
+        if (!clean()) {
+            breach("more than the answer");
+            return;
+        }
         state = State.IDLE;
         idleSince = door.clock.now();
         pool.ready(this);
     }
 
+    /** Whether nothing of a further message has come. */
+    boolean clean() {
+        return !decoder.begun();
+    }
+
     private void breach(String what) {
         door.counters.add("member.breach");
         door.logOnce("a member sent what the protocol does not allow: " + what);
-        if (state == State.BUSY) {
-            answer.complete = false; // may have run: nothing of it is passed on
-            answer.error = null;
-        }
+        spoilt = state == State.BUSY; // it has run: nothing of it is passed on or believed
         channel.close();
+        closed();
     }
 
     @Override public void channelInactive(ChannelHandlerContext ctx) {
@@ -194,14 +227,14 @@
         answer = null;
         door.limits.memberClosed();
         pool.closed(this, before, whyNot);
-        if (broken != null && (last.complete || last.error != null)) {
+        if (broken != null && !spoilt && (last.complete() || last.error != null)) {
             door.answered(broken, last); // whole, though no ReadyForQuery came
             return;
         }
         last.release();
         if (broken != null) {
             // guards against calling unsent what was written: unsure counts as may have run
-            door.ended(broken, written ? Outcome.RESET : Outcome.NO_CONNECTION);
+            door.ended(broken, spoilt ? Outcome.SPOILT : written ? Outcome.RESET : Outcome.NO_CONNECTION);
         }
     }
 
@@ -220,8 +253,8 @@
     }
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
-            breach(String.valueOf(cause.getMessage()));
+        if (!(cause instanceof java.io.IOException) && state != State.CLOSED) {
+            breach("what is no message, or one of an impossible length");
         }
         ctx.close();
     }
--- a/src/main/java/reedquay/net/Pool.java
+++ b/src/main/java/reedquay/net/Pool.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import reedquay.core.Member;
 import reedquay.core.Outcome;
-import reedquay.pg.FrameDecoder;
 
 /** The connections to one member. The one used last goes out first, so that the others fall idle. */
 final class Pool {
@@ -43,6 +42,10 @@
     /** Sends at once on an idle connection, else when the next one is ready. */
     void submit(Send send) {
         MemberConnection connection = idle.pollFirst();
+        while (connection != null && !connection.clean()) { // guards against a surplus that came while it was idle
+            connection.close();
+            connection = idle.pollFirst();
+        }
         if (connection != null) {
             door.counters.add("member.reused");
             connection.write(send);
@@ -67,7 +70,7 @@
         all.add(connection);
         ChannelFuture up = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(FrameDecoder.ofServer(Limits.LONGEST_MESSAGE), connection);
+                channel.pipeline().addLast(connection.decoder, connection);
             }
         }).connect(address);
         up.addListener(f -> {
--- a/src/main/java/reedquay/pg/Frame.java
+++ b/src/main/java/reedquay/pg/Frame.java
@@ -12,6 +12,7 @@
     public static final byte FIRST = 0;
     public static final int VERSION_3 = 196608, SSL = 80877103, GSS = 80877104, CANCEL = 80877102;
     private static final int HEAD = 5;
+    private static final int COLUMN = 18; // what describes a column, behind its name
 
     public final byte type;
 
@@ -46,6 +47,34 @@
         return from >= end ? "" : content().toString(from, (zero < 0 ? end : zero) - from, StandardCharsets.UTF_8);
     }
 
+    /**
+     * Whether what a server sends is as the protocol has it: a description of one column, a row of one value that fits,
+     * a completion or an error whose texts end. Guards against passing on what was spoilt on its way.
+     */
+    public boolean wellFormed() {
+        ByteBuf all = content();
+        int from = body();
+        int end = all.writerIndex();
+        int zero = from >= end ? -1 : all.indexOf(from, end, (byte) 0);
+        return switch (type) {
+            case 'T' -> {
+                int name = bodyLength() < 2 ? -1 : all.indexOf(from + 2, end, (byte) 0);
+                yield name >= 0 && all.getShort(from) == 1 && end - name - 1 == COLUMN;
+            }
+            case 'D' -> bodyLength() >= 6 && all.getShort(from) == 1 && all.getInt(from + 2) == bodyLength() - 6;
+            case 'C' -> zero > from && zero == end - 1;
+            case 'E' -> {
+                int at = from;
+                while (at >= 0 && at < end && all.getByte(at) != 0) {
+                    at = all.indexOf(at + 1, end, (byte) 0) + 1;
+                    at = at == 0 ? -1 : at;
+                }
+                yield at > from && at == end - 1;
+            }
+            default -> true;
+        };
+    }
+
     /** The fields of an ErrorResponse or notice by their one-letter names. */
     public Map<Character, String> fields() {
         Map<Character, String> fields = new HashMap<>();
--- a/src/main/java/reedquay/pg/FrameDecoder.java
+++ b/src/main/java/reedquay/pg/FrameDecoder.java
@@ -10,6 +10,8 @@
 public final class FrameDecoder extends ByteToMessageDecoder {
     private static final int FIRST_LIMIT = 10_000; // what the protocol's own servers allow a first message
 
+    private static final int HEAD_OF_ROW = 11; // type, length, number of columns, length of the first
+
     private final int limit;
     private final String types;
     private boolean first;
@@ -32,6 +34,11 @@
         return new FrameDecoder(false, "RSKZTDCEINA123nstvGHWdcV", limit);
     }
 
+    /** Whether something of a message has come that is not whole, or of none. */
+    public boolean begun() {
+        return broken || actualReadableBytes() > 0;
+    }
+
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (broken) {
             in.skipBytes(in.readableBytes());
@@ -51,6 +58,13 @@
             broken = true;
             throw new CorruptedFrameException("a message cannot have the length " + length);
         }
+        // guards against waiting for a value whose own length already proves that it doesn't fit
+        boolean row = type == 'D' && !first && in.readableBytes() >= HEAD_OF_ROW;
+        if (row && in.getShort(in.readerIndex() + 5) == 1 && in.getInt(in.readerIndex() + 7) >= 0
+                && in.getInt(in.readerIndex() + 7) != length - HEAD_OF_ROW + 1) {
+            broken = true;
+            throw new CorruptedFrameException("a value does not fit its row");
+        }
         if (in.readableBytes() < head + length) {
             return;
         }
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -690,7 +690,7 @@
                 rest(node);
                 answers(node);
             }
-            case MISS -> answers(node);
+            case MISS, SPOILT -> answers(node); // spoilt on its way: the member has done the work in good time
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION -> putAside(node);
         }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -102,6 +102,17 @@
         assertTrue(back > 5);
     }
 
+    /** Answers spoilt on their way rested one member after the other, though all did their work. */
+    @Test void memberWhoseAnswerIsSpoiltDoesNotRest() {
+        for (Outcome outcome : new Outcome[] {Outcome.SPOILT, Outcome.RESET}) {
+            Gate one = Gate.usual();
+            Rpc write = one.arrive(ONCE, 0);
+            one.answer(one.last(write), outcome, Report.NO_POSITION, Role.UNKNOWN);
+            assertTrue(one.aborted.contains(write), "it may have run");
+            assertEquals(outcome == Outcome.SPOILT, one.arrive(ONCE, 0).callOuts.size() == 1);
+        }
+    }
+
     @Test void silentMemberIsPutAsideAndItsReadGoesElsewhere() {
         Rpc rpc = gate.arrive(ANY, 0);
         gate.pass(600);
