A stop ends before the kill and serves the sessions it has until shortly before

And Gateway.drain closed free sessions after 0.45 s, with the other gateway still starting.

Change: Math.min; new sessions are taken for 0.45 s as before (what then lies in the backlog is accepted whatever the limit), the sessions there are served until one shortest soft deadline before the end, and no RPC taken meanwhile is due after the end.

--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -54,6 +54,7 @@
     private boolean inBatch;
     private boolean goingOn; // what came afterwards is being run
     private ScheduledFuture<?> alarm;
+    private long answerBy = Long.MAX_VALUE;
     private int inHand;
     private int probesOut;
 
@@ -130,6 +131,11 @@
         return methods.get(name);
     }
 
+    /** Guards against the kill that ends a stop: nothing is in hand then. */
+    void answerBy(long time) {
+        answerBy = time;
+    }
+
     /** An RPC was read whole. */
     Rpc arrived(ClientSession session, Statement statement) {
         long now = clock.now();
@@ -137,9 +143,8 @@
         long tokenAge = statement.after == 0 ? 0 : Math.max(1, now - sees); // 0 would stand for none
         Method method = methods.get(statement.method); // a client waits for no longer than its deadline
         Rpc rpc = new Rpc(statement.id, statement.group, statement.session,
-                now + Math.min(statement.waitMillis * 1_000_000, method.deadline()), statement.retry, tokenAge,
-                statement.tenant,
-                method);
+                Math.min(now + Math.min(statement.waitMillis * 1_000_000, method.deadline()), answerBy),
+                statement.retry, tokenAge, statement.tenant, method);
         rpc.front = session;
         inHand++;
         open.add(rpc.id);
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -48,7 +48,8 @@
     private final long startedAt = clock.now();
     private long sweptAt = startedAt;
     private boolean ready;
-    private boolean stopping;
+    private boolean stopBegan;
+    private boolean stopping; // it ends with its last session
     private boolean listening;
     private Channel listener;
 
@@ -256,21 +257,41 @@
 
     // ---- Shutdown ----
 
-    /** Goes on for as long as clients still come, then finishes what it has taken; done when all is closed. */
+    /**
+     * Takes new sessions for as long as clients still come, and serves those it has while an answer can be in time
+     * before the kill: guards the clients while another gateway is restarting too. Done when all is closed.
+     */
     public CompletableFuture<Void> stop() {
         if (stopped.isDone()) {
             return stopped;
         }
         loop.execute(() -> {
-            if (!stopping) {
-                loop.schedule(this::drain, Shutdown.STILL_COMING, TimeUnit.NANOSECONDS);
-                long longest = door.settings().methods().stream().mapToLong(Method::deadline).max().orElse(0);
-                loop.schedule(this::finish, Shutdown.longest(longest), TimeUnit.NANOSECONDS);
+            if (stopBegan) {
+                return;
             }
+            stopBegan = true;
+            List<Method> methods = door.settings().methods();
+            long end = Shutdown.longest(methods.stream().mapToLong(Method::deadline).max().orElse(0));
+            long soft = methods.stream().mapToLong(Method::softDeadline).min().orElse(0);
+            door.answerBy(clock.now() + end - sweepEvery);
+            loop.schedule(this::takeNoMore, Shutdown.STILL_COMING, TimeUnit.NANOSECONDS);
+            loop.schedule(this::drain, Math.max(Shutdown.STILL_COMING, end - soft), TimeUnit.NANOSECONDS);
+            loop.schedule(this::finish, end, TimeUnit.NANOSECONDS);
         });
         return stopped;
     }
 
+    /** What lies in the backlog by now is accepted whatever the limit; the sessions there are go on. */
+    private void takeNoMore() {
+        listening = false;
+        stopping = true;
+        if (listener != null) {
+            listener.config().setAutoRead(true);
+            loop.schedule(() -> listener.close(), sweepEvery, TimeUnit.NANOSECONDS);
+        }
+        loop.schedule(this::checkStopped, sweepEvery, TimeUnit.NANOSECONDS);
+    }
+
     /** Ends at once, whatever is in hand. */
     void halt() {
         loop.execute(this::finish);
@@ -278,11 +299,6 @@
     }
 
     private void drain() {
-        stopping = true;
-        listening = false;
-        if (listener != null) {
-            listener.close();
-        }
         new ArrayList<>(sessions).forEach(ClientSession::drain);
         checkStopped();
     }
