Members that are gone are forgotten by the Router and the pools, and no longer counted

So a member leaves three cold windows after its last call-out, with nothing out there, unless it is the last known primary; where only draining binds it leaves once it is silent up to the longest wait between trials.

The test runs 2,000 members through a gateway and finds the sizes back.

--- a/src/main/java/reedquay/core/Effects.java
+++ b/src/main/java/reedquay/core/Effects.java
@@ -20,6 +20,9 @@
     /** Connections to the member that carry nothing now are not to be used again. */
     void closeIdle(Member member);
 
+    /** The member is gone and nothing is out there: nothing of it is kept; named again it is a new one. */
+    void forget(Member member);
+
     void wakeIn(long delay);
 
     void subscribe();
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -70,6 +70,7 @@
         settings.methods().forEach(m -> methods.put(m.name(), m));
         decider = maker.apply(settings, this);
         counters.gauge("rpc.inhand", () -> inHand);
+        counters.gauge("member.known", pools::size);
     }
 
     // ---- Inputs ----
@@ -292,6 +293,11 @@
         ((Pool) member.front).dropIdle("aside");
     }
 
+    @Override public void forget(Member member) {
+        pools.remove(member.id);
+        ((Pool) member.front).closeAll();
+    }
+
     @Override public void wakeIn(long delay) {
         if (alarm != null) {
             alarm.cancel(false);
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -88,9 +88,7 @@
             this.read = need != Need.WRITE && need != Need.FRESH;
         }
 
-        boolean at(Node node) {
-            return rpc.callOuts.stream().anyMatch(c -> c.member == node.member);
-        }
+        boolean at(Node node) { return rpc.callOuts.stream().anyMatch(c -> c.member == node.member); }
     }
 
     private static final class Group {
@@ -101,9 +99,7 @@
         long pressedUntil = LONG_AGO, pressedSince; // an RPC had to be held a short while ago
         boolean news; // held RPCs are worth another look
 
-        Group(int number) {
-            this.number = number;
-        }
+        Group(int number) { this.number = number; }
     }
 
     /** A member as this gateway sees it. */
@@ -121,7 +117,7 @@
         double room = ROOM; // how many call-outs may be in flight
         int strikes; // times turned away in a row
         long drawnAt = LONG_AGO, restUntil = LONG_AGO, cutAt = LONG_AGO;
-        boolean aside, reported, probing; // reported: the log says that it is aside
+        boolean aside, reported, probing, gone; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long reportedAt, quietSince, trialWait, trialAt;
 
@@ -140,9 +136,7 @@
         private final long unit;
         private int total;
 
-        Latency(long unit) {
-            this.unit = unit;
-        }
+        Latency(long unit) { this.unit = unit; }
 
         void add(long took) {
             int bits = Long.SIZE - Long.numberOfLeadingZeros(Math.max(0, took - 1) / unit);
@@ -281,7 +275,8 @@
             return;
         }
         if (kind != Listed.ListKind.CHANGES) {
-            nodes.forEach(n -> n.open &= goneOpen); // what a full list leaves out is gone
+            nodes.forEach(n -> n.gone = true); // what a full list leaves out is gone
+            nodes.forEach(n -> n.open &= goneOpen);
         }
         for (Listed entry : entries) {
             Node node = (Node) entry.member().state;
@@ -297,7 +292,8 @@
                 node.role = Role.UNKNOWN;
             }
             boolean up = entry.phase() == Listed.Phase.UP, opened = !node.open && up;
-            node.open = up || goneOpen && node.open && entry.phase() == Listed.Phase.GONE;
+            node.gone = entry.phase() == Listed.Phase.GONE;
+            node.open = up || goneOpen && node.open && node.gone;
             node.listedPrimary = entry.primary();
             long start = entry.startedAt() == 0 ? LONG_AGO : entry.startedAt();
             if (start > node.startedAt) { // a new process is judged anew
@@ -312,6 +308,20 @@
             node.group.news = true;
         }
         groups.values().forEach(this::choosePrimary);
+        nodes.removeIf(this::leaves);
+    }
+
+    /** Guards against keeping members that are gone; rule 4 still counts what was answered of late. */
+    private boolean leaves(Node node) {
+        boolean mayLive = goneOpen && node.open && !(node.aside && node.trialWait >= LAST_TRIAL * brisk);
+        boolean late = !node.sends.isEmpty() && now - 3 * coldWindow < node.sends.peekLast();
+        boolean busy = late || node.inFlight > 0 || node.probing || node == node.group.primary;
+        if (!node.gone || mayLive || busy) {
+            return false;
+        }
+        node.open = false;
+        effects.forget(node.member);
+        return node.group.nodes.remove(node);
     }
 
     @Override public void arrived(Rpc rpc) {
@@ -326,8 +336,7 @@
     @Override public void ready(CallOut call) {
         Job job = (Job) call.rpc.state;
         job.ready = call;
-        step(job, Input.READY);
-        job.ready = null;
+        step(job, Input.READY); // which alone reads it
     }
 
     @Override public void done(CallOut call, Outcome outcome, long took, boolean ended, long position,
@@ -363,9 +372,7 @@
         node.mayTry = node.aside && outcome == Outcome.OK;
     }
 
-    @Override public void clientGone(Rpc rpc) {
-        step((Job) rpc.state, Input.LEFT);
-    }
+    @Override public void clientGone(Rpc rpc) { step((Job) rpc.state, Input.LEFT); }
 
     /** Newest evidence counts, by the time at which it was true. */
     private void learn(Node node, long position, Role role, long at) {
@@ -478,9 +485,7 @@
         watch(job);
     }
 
-    private void watch(Job job) {
-        later(now + silence(), job, null, Input.SLOW);
-    }
+    private void watch(Job job) { later(now + silence(), job, null, Input.SLOW); }
 
     private void cancelAll(Job job) {
         job.rpc.callOuts.stream().filter(c -> !c.ended && allowed.cancel()).forEach(effects::cancel);
@@ -625,14 +630,10 @@
 
     // ---- Guards ----
 
-    private static boolean alive(Node node) {
-        return node.open && !node.aside;
-    }
+    private static boolean alive(Node node) { return node.open && !node.aside; }
 
     /** A silent member comes back by being tried a little, by a write where no read does it for long. */
-    private boolean trial(Node node) {
-        return node.aside && node.mayTry && node.open && warmEnough(node);
-    }
+    private boolean trial(Node n) { return n.aside && n.mayTry && n.open && warmEnough(n); }
 
     private boolean usable(Node node) {
         return alive(node) && now >= node.restUntil && node.inFlight < node.room && warmEnough(node);
@@ -666,9 +667,7 @@
     // ---- Health ----
 
     /** How long a member that has work may say nothing. */
-    private long silence() {
-        return Math.max(all.below(0.95, brisk), brisk / 4);
-    }
+    private long silence() { return Math.max(all.below(0.95, brisk), brisk / 4); }
 
     private void health(Node node, Outcome outcome, long took, Method method) {
         switch (outcome) {
@@ -690,7 +689,7 @@
                 rest(node);
                 answers(node);
             }
-            case MISS, SPOILT -> answers(node); // spoilt on its way: the member has done the work in good time
+            case MISS, SPOILT -> answers(node); // spoilt on its way: the member has done the work
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION -> putAside(node);
         }
--- a/src/main/java/reedquay/sim/Gateway.java
+++ b/src/main/java/reedquay/sim/Gateway.java
@@ -271,6 +271,10 @@
         // the simulator's connections are not the gateway's
     }
 
+    @Override public void forget(Member member) {
+        members.remove(member.id);
+    }
+
     @Override public void wakeIn(long delay) {
         timed("SET_ALARM", delay).append(" 0\n");
     }
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -740,6 +740,33 @@
         await(() -> count("client.partialbytes") == 0, "all is given back");
     }
 
+    /** What a long day brings in ever new leaves nothing behind: members, sessions, ids, keys. */
+    @Test void sizesAreBackWhereTheyWereAfterThousands() throws IOException {
+        try (Client client = ready()) {
+            assertEquals("T D: C Z", client.ask(read("history", 1000)));
+            long known = count("member.known");
+            for (int i = 0; i < 2000; i += 100) {
+                StringBuilder up = new StringBuilder();
+                for (int j = i; j < i + 100; j++) {
+                    up.append(up.length() > 0 ? "," : "").append("{\"instanceId\":\"x" + j + "\",\"cell\":1,")
+                            .append("\"hostPort\":\"127.0.0.1:1\",\"lifecycle\":\"draining\"}");
+                }
+                String some = up.toString();
+                long lists = count("discovery.lists");
+                world.tellRaw("{\"generation\":9,\"instances\":[" + some + "]}\n");
+                world.tellRaw("{\"generation\":9,\"instances\":[" + some.replace("draining", "gone") + "]}\n");
+                await(() -> count("discovery.lists") == lists + 2, "both are read");
+                try (Client once = new Client().startup()) {
+                    assertEquals("T D: C Z", once.ask(read("history", 1000).replace("'k'", "'k" + i + "'")));
+                }
+            }
+            assertEquals(known, count("member.known"));
+            await(() -> count("client.open") == 1, "sessions are gone");
+            assertEquals(0, count("rpc.inhand"));
+            assertTrue(count("member.open") <= 4, "" + count("member.open"));
+        }
+    }
+
     /** Beyond the limit, sessions between RPCs make room, and those with one in hand do not. */
     @Test void descriptorsStayUnderTheLimit() throws IOException {
         JsonObject small = configuration();
--- a/src/test/java/reedquay/route/Gate.java
+++ b/src/test/java/reedquay/route/Gate.java
@@ -167,6 +167,10 @@
         did.add(now + " close idle " + member.id);
     }
 
+    @Override public void forget(Member member) {
+        members.remove(member.id);
+    }
+
     @Override public void wakeIn(long delay) {
         alarm = now + delay / 1000 * 1000; // a coarser clock rings a little early
     }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -113,6 +113,44 @@
         }
     }
 
+    /** Members replaced all day were kept for ever, and a cold one got its share of all that ever were. */
+    @Test void membersThatAreGoneAreForgottenOnceNothingIsOut() {
+        gate.answer(gate.last(gate.arrive(WRITE, 0)), Outcome.OK, gate.now, Role.PRIMARY);
+        CallOut call = gate.last(gate.arrive(ANY, 0));
+        gate.batch(() -> gate.router.probed(gate.member("r1"), Outcome.OK, MS, Report.NONE));
+        gate.batch(() -> gate.router.probed(gate.member("r2"), Outcome.OK, MS, Report.NONE));
+        gate.batch(() -> gate.router.probed(gate.member("p"), Outcome.OK, MS, Report.NONE));
+        Listed.Phase gone = Listed.Phase.GONE;
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", gone, false, 0),
+                gate.entry("r2", gone, false, 0), gate.entry("p", gone, true, 0)));
+        assertEquals(2, gate.members.size(), "the last known primary, and the one with a call-out");
+        gate.pass(20_000);
+        gate.answer(call, Outcome.OK, gate.now, Role.REPLICA);
+        for (int i = 0; i < 1000; i++) {
+            String id = "new" + i;
+            gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.up(id, false)));
+            gate.batch(() -> gate.router.probed(gate.member(id), Outcome.OK, MS, Report.NONE));
+            assertEquals(1, gate.arrive(ANY, 0).callOuts.stream().filter(c -> c.member.id.equals(id)).count());
+            gate.answer(gate.out.get(0), Outcome.OK, gate.now, Role.REPLICA);
+            gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry(id, gone, false, 0)));
+            gate.pass(100);
+        }
+        assertTrue(gate.members.size() < 50, "those of the last seconds, for rule 4");
+        gate.pass(5000);
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES));
+        assertEquals(1, gate.members.size());
+        gate.batch(() -> gate.list(Listed.ListKind.FULL, gate.up("r1", false)));
+        assertEquals("r1", gate.last(gate.arrive(ANY, 0)).member.id, "named again it serves");
+    }
+
+    /** Where only draining binds a list may call live members gone: they stay, but for one that is silent for long. */
+    @Test void memberCalledGoneThatMayLiveIsKept() {
+        Gate open = Gate.usual(true);
+        open.batch(() -> open.list(Listed.ListKind.FULL, open.up("p", true)));
+        assertEquals(3, open.members.size());
+        assertNotEquals("p", open.serve(ANY).id);
+    }
+
     @Test void silentMemberIsPutAsideAndItsReadGoesElsewhere() {
         Rpc rpc = gate.arrive(ANY, 0);
         gate.pass(600);
