Only a primary that said so itself reads for a bound where no replica is left

Ruled out: positions ahead of the clock (cut to it).

Change: with a bound, only a primary whose last word was that it is one.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -594,8 +594,9 @@
         if (ask != null) {
             probe(ask);
         }
-        // where no replica is left at all, the primary is the only reader
-        return !replicaLeft && primary != null && usable(primary) ? primary : pick;
+        // where no replica is left at all, the primary is the only reader; a list alone may name an old one
+        boolean leads = primary != null && usable(primary) && (any || primary.role == Role.PRIMARY);
+        return !replicaLeft && leads ? primary : pick;
     }
 
     /** The lag that the data may have now; NEVER where any will do. */
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -102,7 +102,7 @@
         assertTrue(back > 5);
     }
 
-    /** Answers spoilt on their way rested one member after the other, though all did their work. */
+    /** Answers spoilt on their way, or kept connections that broke, rested one member after the other. */
     @Test void memberWhoseAnswerIsSpoiltDoesNotRest() {
         for (Outcome outcome : new Outcome[] {Outcome.SPOILT, Outcome.RESET}) {
             Gate one = Gate.usual();
@@ -143,6 +143,17 @@
         assertEquals("r1", gate.last(gate.arrive(ANY, 0)).member.id, "named again it serves");
     }
 
+    /** A list names an old primary for a while: a session's read there, with no replica left, was a stale one. */
+    @Test void onlyAPrimaryThatSaidSoReadsForABound() {
+        gate.batch(() -> gate.list(Listed.ListKind.CHANGES, gate.entry("r1", Listed.Phase.GONE, false, 0),
+                gate.entry("r2", Listed.Phase.GONE, false, 0)));
+        assertEquals(0, gate.arrive(SESSION, 10 * MS).callOuts.size());
+        CallOut any = gate.last(gate.arrive(ANY, 0));
+        assertEquals("p", any.member.id);
+        gate.answer(any, Outcome.OK, gate.now, Role.PRIMARY);
+        assertEquals("p", gate.last(gate.arrive(SESSION, 10 * MS)).member.id);
+    }
+
     /** Where only draining binds a list may call live members gone: they stay, but for one that is silent for long. */
     @Test void memberCalledGoneThatMayLiveIsKept() {
         Gate open = Gate.usual(true);
