A kept connection that breaks under a statement says nothing against its member

RPCs were held since in the mean 2.4 of 5 members were out of room and 1.4 at rest: Router.health cuts the room and rests the member for each RESET. Ruled out: positions (0.1 of 5 too old), and, before the mass restart, members put aside (0.1 of 5).

Change: MemberConnection tells a break on a kept connection as STALE, an outcome of its own that may have run and rests nobody.

Not tried: leaving connections alone beyond the idle time at which they begin to break.

--- a/src/main/java/reedquay/core/Outcome.java
+++ b/src/main/java/reedquay/core/Outcome.java
@@ -5,7 +5,9 @@
     OK(false), ERROR(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), RESET(false),
     CANCELLED(false), NEVER_SENT(true), MISS(true),
     /** An answer came that cannot be read. */
-    SPOILT(false);
+    SPOILT(false),
+    /** A connection kept from an earlier statement broke under this one. */
+    STALE(false);
 
     public final boolean provesNeverRan;
 
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -50,6 +50,7 @@
     private Answer answer = new Answer();
     private boolean written;
     private boolean spoilt;
+    private boolean used, kept; // kept: it has carried a statement before this one
     private Outcome whyNot = Outcome.NO_CONNECTION; // what waits for this connection gets if it never comes up
 
     MemberConnection(Door door, Pool pool, long openedAt) {
@@ -69,6 +70,8 @@
     /** Sends the query of a send that has this connection to itself from here on. */
     void write(Send next) {
         door.counters.must(state == State.IDLE || state == State.RESERVED, "one send at a time on a connection");
+        kept = used;
+        used = true;
         state = State.BUSY;
         send = next;
         next.connection = this;
@@ -233,8 +236,10 @@
         }
         last.release();
         if (broken != null) {
-            // guards against calling unsent what was written: unsure counts as may have run
-            door.ended(broken, spoilt ? Outcome.SPOILT : written ? Outcome.RESET : Outcome.NO_CONNECTION);
+            // guards against calling unsent what was written: unsure counts as may have run; and against holding it
+            // against a member that a connection kept to it was of no more use: a dead process refuses the next one
+            door.ended(broken, spoilt ? Outcome.SPOILT : !written ? Outcome.NO_CONNECTION
+                    : kept ? Outcome.STALE : Outcome.RESET);
         }
     }
 
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -690,7 +690,7 @@
                 rest(node);
                 answers(node);
             }
-            case MISS, SPOILT -> answers(node); // spoilt on its way: the member has done the work
+            case MISS, SPOILT, STALE -> answers(node); // the way there failed, not the member
             case TIMED_OUT -> node.latency.add(took);
             case NO_CONNECTION -> putAside(node);
         }
