Sessions that have just come are not closed for room before the free ones

Gateway.opened closed the oldest that had not spoken, also one that came a moment ago with its first message unread, whose client came again. Ruled out: the Router's holds, health, bad clients.

Change: one that has not spoken goes before free sessions only after one connect time-out.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -150,6 +150,11 @@
         }
     }
 
+    /** When it was last seen to owe nothing; before its first message, when it came. */
+    long since() {
+        return since;
+    }
+
     /** Whether it is not read from for want of memory. */
     boolean stalled() {
         return !channel.config().isAutoRead() && aheadBytes <= door.limits.waitingBytes && state != State.CLOSING;
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -199,8 +199,11 @@
         sessions.add(session);
         unused.add(session);
         if (limits.clientOpened()) {
-            // guards the usual clients against hundreds that say nothing: those go first, then who is between RPCs
-            Set<ClientSession> from = unused.iterator().next() == session ? free : unused;
+            // guards the usual clients against hundreds that say nothing: those go first, then the free; one
+            // that has just come is no silent one, its first message may lie unread: else all come again and again
+            ClientSession first = unused.iterator().next();
+            boolean silent = clock.now() - first.since() >= door.settings().allowed().connectTimeout();
+            Set<ClientSession> from = silent || free.isEmpty() && first != session ? unused : free;
             if (!from.isEmpty()) {
                 counters.add("client.closed.room");
                 ClientSession goes = from.iterator().next();
