--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -26,7 +26,8 @@
         }
         try {
             try {
-                Rehearsal.run(Files.readString(Path.of(config)));
+                System.out.println("rehearsed " + Rehearsal.run(Files.readString(Path.of(config))).get("rpc.taken")
+                        + " RPCs");
             } catch (IOException | RuntimeException e) {
                 System.err.println("reedquay: the rehearsal ended early: " + e.getMessage());
             }
