--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -25,6 +25,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -41,7 +42,7 @@
     private final StandIn.Server primary = world.server("one");
     private Gateway gateway;
     private InetSocketAddress address;
-    private long ids;
+    private final AtomicLong ids = new AtomicLong(); // several clients draw from it at once
 
     private static JsonObject configuration() {
         try {
@@ -141,7 +142,7 @@
     }
 
     private String head(String method, int wait, String more) {
-        return "/* id=" + Long.toHexString(0x1000 + ids++) + ",c=" + method + ",t=acme,d=" + wait + ",cluster=1"
+        return "/* id=" + Long.toHexString(0x1000 + ids.getAndIncrement()) + ",c=" + method + ",t=acme,d=" + wait + ",cluster=1"
                 + more + " */ ";
     }
 
