--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -142,8 +142,8 @@
     }
 
     private String head(String method, int wait, String more) {
-        return "/* id=" + Long.toHexString(0x1000 + ids.getAndIncrement()) + ",c=" + method + ",t=acme,d=" + wait + ",cluster=1"
-                + more + " */ ";
+        return "/* id=" + Long.toHexString(0x1000 + ids.getAndIncrement()) + ",c=" + method + ",t=acme,d=" + wait
+                + ",cluster=1" + more + " */ ";
     }
 
     private String read(String method, int wait) {
