--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -52,8 +52,6 @@
     @Override public void channelActive(ChannelHandlerContext ctx) {
         counted = true;
         since = door.clock.now();
-        bornAt = since;
-        lastFree = since;
         door.counters.add("client.accepted");
         gateway.opened(this);
     }
@@ -278,8 +276,6 @@
         statement = next;
         state = State.IN_HAND;
         rpc = door.arrived(this, statement);
-        asked++;
-        last = statement.method + " " + statement.tenant + " g" + statement.group + " r" + statement.retry;
         Rpc taken = rpc;
         door.input(d -> d.arrived(taken));
     }
@@ -303,7 +299,6 @@
         channel.writeAndFlush(last);
         settle();
         state = State.FREE;
-        lastFree = door.clock.now();
         // guards against an RPC that is taken from within the batch of decisions that answered the last one
         door.afterwards(this::resume);
     }
@@ -329,22 +324,6 @@
         }
     }
 
-    int asked;
-    long lastFree;
-    long bornAt;
-
-    String probe(long now) {
-        return state + " asked " + asked + " age " + (now - bornAt) / 1_000_000 + " idle " + (now - lastFree) / 1_000_000
-                + " tenants " + last;
-    }
-
-    String last;
-
-    String kind(long now) {
-        long idle = (now - lastFree) / 500_000_000;
-        return state + (state == State.FREE ? (asked == 0 ? "0" : asked == 1 ? "1" : "n") + "_" + Math.min(9, idle) : "");
-    }
-
     /** From now on the session closes as soon as it has nothing in hand. */
     void drain() {
         draining = true;
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -47,7 +47,6 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final long startedAt = clock.now();
     private long sweptAt = startedAt;
-    private long probed;
     private boolean ready;
     private boolean stopBegan;
     private boolean stopping; // it ends with its last session
@@ -117,14 +116,6 @@
         discovery.sweep(now);
         checkReady(now);
         sweptAt = now;
-        if (now / 500_000_000 != probed) {
-            probed = now / 500_000_000;
-            StringBuilder b = new StringBuilder("PROBE states " + probed % 1000 + " open " + limits.clientsOpen() + " unused "
-                    + unused.size() + " free " + free.size());
-            java.util.TreeMap<String, Integer> by = new java.util.TreeMap<>();
-            sessions.forEach(x -> by.merge(x.kind(now), 1, Integer::sum));
-            door.log(b + " " + by + " mem " + limits.membersOpen() + " " + counters.read());
-        }
         int mayResume = limits.full() ? 0 : limits.messagesToCome(); // guards against all of them at once
         for (ClientSession session : new ArrayList<>(sessions)) {
             session.sweep(now, door.settings().allowed().connectTimeout());
@@ -216,7 +207,6 @@
             if (!from.isEmpty()) {
                 counters.add("client.closed.room");
                 ClientSession goes = from.iterator().next();
-                door.log("PROBE close " + (from == unused ? "unused " : "free ") + goes.probe(clock.now()));
                 from.remove(goes);
                 goes.end();
             }
