Spoken sessions are kept below a front's share of the descriptors, unasked ones are not free

Checked: sessions by state twice a second and each session closed for room: 126 free ones that had asked once and never again, 0 to 5 RPCs in hand; those that had spoken stood at 128, a third of 384 descriptors, which is what the front allows itself. Closing began at 175 in all, so only the silent ones that came made room, 60 RPCs a second. Later 1,814 of 2,919 sessions closed as free had sent a startup and no statement yet, and came again at once. Ruled out: bad clients (their counters 10, 0, 0), memory, the Router (it held 182 RPCs in all). At fault: Limits.clientsWanted as the only bound, Gateway.free taking in sessions that have asked nothing. The test opens more sessions than the share, asks once on each, and fails without the change.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -34,8 +34,10 @@
     private Statement statement;
     private boolean draining;
     private boolean counted;
+    private boolean used; // something has come behind its startup
+    private long came;
     private String refusal; // what is wrong with what it sent, told once all that came before is answered
-    private long since; // when it was last seen to owe nothing
+    private long since; // when it was last seen to owe nothing; before its first message, when it came
     private int partial; // bytes of a message that is not whole
     private int turn;
     private boolean yielded;
@@ -51,7 +53,8 @@
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
         counted = true;
-        since = door.clock.now();
+        came = door.clock.now();
+        since = came;
         door.counters.add("client.accepted");
         gateway.opened(this);
     }
@@ -150,9 +153,8 @@
         }
     }
 
-    /** When it was last seen to owe nothing; before its first message, when it came. */
-    long since() {
-        return since;
+    long came() {
+        return came;
     }
 
     /** Whether it is not read from for want of memory. */
@@ -179,6 +181,10 @@
             first(frame);
             return;
         }
+        if (!used) {
+            used = true;
+            gateway.used(this);
+        }
         switch (frame.type) {
             case 'Q' -> {
                 if (state == State.SKIPPING) {
@@ -212,7 +218,7 @@
                     return;
                 }
                 state = State.FREE;
-                gateway.used(this);
+                gateway.spoke(this);
                 write(Messages.ready(Messages.welcome(buffer(), 1, 1)));
             }
         }
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -41,7 +41,8 @@
     private final long idleFor;
     private final long sweepEvery;
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    private final Set<ClientSession> unused = new LinkedHashSet<>(); // nothing has come from them, the oldest first
+    private final Set<ClientSession> spoken = new LinkedHashSet<>(); // their startup has come
+    private final Set<ClientSession> unused = new LinkedHashSet<>(); // they have asked nothing, the oldest first
     private final Set<ClientSession> free = new LinkedHashSet<>(); // the longest free one first
     private final List<Runnable> waitingForReady = new ArrayList<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -199,23 +200,58 @@
         sessions.add(session);
         unused.add(session);
         if (limits.clientOpened()) {
-            // guards the usual clients against hundreds that say nothing: those go first, then the free; one
-            // that has just come is no silent one, its first message may lie unread: else all come again and again
-            ClientSession first = unused.iterator().next();
-            boolean silent = clock.now() - first.since() >= door.settings().allowed().connectTimeout();
-            Set<ClientSession> from = silent || free.isEmpty() && first != session ? unused : free;
-            if (!from.isEmpty()) {
-                counters.add("client.closed.room");
-                ClientSession goes = from.iterator().next();
-                from.remove(goes);
-                goes.end();
-            }
+            ClientSession least = leastNeeded();
+            closeForRoom(least != null ? least : first(unused), session);
         }
         accepting();
     }
 
+    /** It has sent its startup. */
+    void spoke(ClientSession session) {
+        spoken.add(session);
+        keepRoom(session);
+    }
+
+    /**
+     * Guards against clients that open a connection for each RPC and leave it open: they fill the share of the
+     * descriptors that a front allows itself, and it turns RPCs away while nearly all its connections stand free here.
+     */
+    private void keepRoom(ClientSession but) {
+        boolean closed = true;
+        while (closed && spoken.size() > limits.spokenWanted) {
+            closed = closeForRoom(leastNeeded(), but);
+        }
+    }
+
+    /**
+     * The oldest that has long asked nothing: guards the usual clients against hundreds that say nothing. Else the one
+     * longest free. One that has just come is neither: its first statement may lie unread, and it would come again.
+     */
+    private ClientSession leastNeeded() {
+        ClientSession oldest = first(unused);
+        boolean silent = oldest != null && clock.now() - oldest.came() >= door.settings().allowed().connectTimeout();
+        return silent ? oldest : first(free);
+    }
+
+    private static ClientSession first(Set<ClientSession> of) {
+        return of.isEmpty() ? null : of.iterator().next();
+    }
+
+    private boolean closeForRoom(ClientSession goes, ClientSession but) {
+        if (goes == null || goes == but) {
+            return false;
+        }
+        counters.add("client.closed.room");
+        spoken.remove(goes);
+        unused.remove(goes);
+        free.remove(goes);
+        goes.end();
+        return true;
+    }
+
     void closed(ClientSession session) {
         sessions.remove(session);
+        spoken.remove(session);
         unused.remove(session);
         free.remove(session);
         limits.clientClosed();
@@ -225,7 +261,7 @@
         }
     }
 
-    /** It has sent its first message. */
+    /** It has sent something behind its startup. */
     void used(ClientSession session) {
         unused.remove(session);
     }
@@ -246,8 +282,9 @@
 
     void free(ClientSession session, boolean isFree) {
         free.remove(session);
-        if (isFree && sessions.contains(session)) {
+        if (isFree && sessions.contains(session) && !unused.contains(session)) {
             free.add(session);
+            keepRoom(session);
         }
     }
 
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -11,6 +11,7 @@
 
     final int clients;
     final int clientsWanted; // above this, sessions between RPCs are closed
+    final int spokenWanted; // the same for those that have spoken: clients use a third of the descriptors for RPCs
     final int members;
     final int waitingBytes; // what one client may send ahead
     private int clientsOpen;
@@ -24,6 +25,7 @@
         int ours = Math.max(16, sockets - OWN);
         clients = ours * 5 / 8;
         clientsWanted = clients * 7 / 8;
+        spokenWanted = Math.min(clients, sockets / 3) * 7 / 8;
         members = ours - clients;
         waitingBytes = (int) Math.min(2 * LONGEST_MESSAGE, mayHold / clients);
     }
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -799,6 +799,29 @@
         }
     }
 
+    /** Clients that open a connection for each RPC and leave it fill no front's share; those yet to ask stay. */
+    @Test void connectionsThatAskedOnceMakeRoom() throws IOException {
+        JsonObject some = configuration();
+        some.getAsJsonObject("limits").addProperty("sockets", 384);
+        some.getAsJsonObject("settings").getAsJsonObject("Allowed").addProperty("ConnectTimeout", 5000.0);
+        start(some);
+        int wanted = new Limits(384, 192).spokenWanted;
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < wanted + 10; i++) {
+            clients.add(new Client().startup());
+        }
+        assertEquals(0, count("client.closed.room"));
+        for (Client each : clients) {
+            assertEquals("T D: C Z", each.ask(read("history", 1000)));
+        }
+        await(() -> count("client.open") == wanted, "the rest is closed");
+        assertEquals(10, count("client.closed.room"));
+        assertEquals("closed", clients.get(0).answer());
+        for (Client each : clients) {
+            each.close();
+        }
+    }
+
     /** Beyond the limit, sessions between RPCs make room, and those with one in hand do not. */
     @Test void descriptorsStayUnderTheLimit() throws IOException {
         JsonObject small = configuration();
