A member that is slow by itself keeps its room: strain counts from four in flight of all gateways

Ruled out: cold windows, rest, members put aside, connections; true lag is 1,900 of the holds and stays. At fault: Router.health, the cut for strain without a look at what is in flight. The test fails without it, and shows that with a hundred gateways nothing changes.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -678,7 +678,8 @@
                 node.latency.add(took);
                 all.add(took);
                 node.strain.add((long) ((double) took * brisk / method.softDeadline()));
-                if (node.strain.mean(brisk / 4) > brisk * 5 / 16) {
+                boolean queue = (node.inFlight + 1) * gateways > 2 * ROOM; // guards the room where one is slow alone
+                if (queue && node.strain.mean(brisk / 4) > brisk * 5 / 16) {
                     cut(node, 7);
                 } else if (node.inFlight + 1 >= node.room) {
                     node.room += 1 / node.room; // room that is not used is not known to be there
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -206,6 +206,21 @@
         }
     }
 
+    /** A member slow by itself lost its room to the strain, which fewer call-outs could not ease. */
+    @Test void memberThatIsSlowAloneKeepsItsRoom() {
+        for (int gateways : new int[] {2, 100}) {
+            Gate one = new Gate(true, true, true, false, 0, gateways);
+            one.batch(() -> one.list(Listed.ListKind.FULL, one.up("p", true), one.up("r1", false)));
+            for (int i = 0; i < 12; i++) {
+                Rpc read = one.arrive(ANY, 0);
+                one.pass(140);
+                one.answer(one.last(read), Outcome.OK, one.now, Role.UNKNOWN);
+            }
+            assertEquals(1, one.arrive(ANY, 0).callOuts.size());
+            assertEquals(gateways == 2 ? 1 : 0, one.arrive(ANY, 0).callOuts.size());
+        }
+    }
+
     /** Retries whose soft deadline had passed took the room that first tries needed. */
     @Test void retriesOfReadsGiveWayWhileOthersWait() {
         gate.tellPosition("r1", 500);
