A write whose primary rests beyond the end of its hold is pushed back at once

Checked: each write held with its group's members: 1,060 of some 1,500 holds had a primary at rest, up to 2.5 s after up to 11 errors in a row. Ruled out: connections (none broke), time-outs (none), an unknown primary (80 holds). At fault: Router.hold, which keeps a write until its own end whatever the rest of the one member that could take it. The test fails without it and shows that a write whose primary is back in time still waits.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -111,11 +111,9 @@
         boolean open, listedPrimary; // open: listed and not draining; nor gone, where that binds
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION, roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
-        double busy; // smoothed: how busy its cores are, as reported
-        double load; // smoothed: calls in flight there from all gateways, as reported
-        int inFlight, allowance; // allowance: what a cold member may get, as drawn for the window
+        double busy, load; // smoothed, as reported: its cores' work, calls in flight there from all gateways
+        int inFlight, allowance, strikes; // of a cold member, by window; times turned away in a row
         double room = ROOM; // how many call-outs may be in flight
-        int strikes; // times turned away in a row
         long drawnAt = LONG_AGO, restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, reported, probing, gone; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
@@ -499,6 +497,8 @@
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
+        boolean inVain = !job.read && job.group.primary != null && job.group.primary.restUntil > end;
+        end = inVain ? now : end; // guards against a late pushback: nothing will be sent in time
         if (now >= job.group.pressedUntil) {
             job.group.pressedSince = now;
         } else if (now - 8 * brisk >= job.group.pressedSince) { // a line only where it lasts
@@ -678,7 +678,7 @@
                 node.latency.add(took);
                 all.add(took);
                 node.strain.add((long) ((double) took * brisk / method.softDeadline()));
-                boolean queue = (node.inFlight + 1) * gateways > 2 * ROOM; // guards the room where one is slow alone
+                boolean queue = (node.inFlight + 1) * gateways > 2 * ROOM; // guards what is slow alone
                 if (queue && node.strain.mean(brisk / 4) > brisk * 5 / 16) {
                     cut(node, 7);
                 } else if (node.inFlight + 1 >= node.room) {
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -206,6 +206,22 @@
         }
     }
 
+    /** Writes were held for a primary that would rest for longer, and pushed back when half their time was gone. */
+    @Test void writeIsPushedBackAtOnceWhereItsPrimaryRestsBeyondIt() {
+        for (int i = 0; i < 5; i++) {
+            Rpc write = gate.arrive(ONCE, 0);
+            gate.answer(gate.last(write), Outcome.ERROR, Report.NO_POSITION, Role.PRIMARY);
+            gate.pass(i < 4 ? 100 << i : 0);
+        }
+        Rpc inVain = gate.arrive(ONCE, 0);
+        gate.pass(10);
+        assertTrue(gate.pushedBack.contains(inVain));
+        gate.pass(400);
+        Rpc waits = gate.arrive(ONCE, 0);
+        gate.pass(1250);
+        assertEquals(1, waits.callOuts.size());
+    }
+
     /** A member slow by itself lost its room to the strain, which fewer call-outs could not ease. */
     @Test void memberThatIsSlowAloneKeepsItsRoom() {
         for (int gateways : new int[] {2, 100}) {
