Reads whose replicas nobody was heard from are lent to a primary that said so itself

Ruled out: the read as its own probe, its answer not passed on. At fault: Router.replica (all replicas too old by the clock), Router.hold (waits a quarter of the soft deadline for news that cannot come, and takes a gateway that hears little for a group under pressure, so that retries give way). Change: the smallest exception: where probes tell no position, nothing in the group was heard for as long as a probe would be due, and the replica heard last kept pace then, a read at the end of its hold goes to the primary, if that said so itself and its latencies leave room. It is not held where nothing is out that could tell, and no pressure is declared. Replicas heard to lag lead there as little as before.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -111,6 +111,7 @@
         boolean open, listedPrimary; // open: listed and not draining; nor gone, where that binds
         Role role = Role.UNKNOWN;
         long position = Report.NO_POSITION, roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
+        long heardAt = LONG_AGO; // when a position was last told
         double busy, load; // smoothed, as reported: its cores' work, calls in flight there from all gateways
         int inFlight, allowance, strikes; // of a cold member, by window; times turned away in a row
         double room = ROOM; // how many call-outs may be in flight
@@ -335,6 +336,7 @@
     private void learn(Node node, long position, Role role, long at) {
         if (position != Report.NO_POSITION) {
             node.position = Math.max(node.position, Math.min(position, now));
+            node.heardAt = now;
         }
         if (role != Role.UNKNOWN && at >= node.roleAt) {
             node.role = role;
@@ -456,8 +458,15 @@
         if (job.mayHaveRunAt != NEVER && m.effect() == Effect.TOKENED) {
             end = Math.min(end, job.mayHaveRunAt + m.window() - tick);
         }
-        boolean inVain = !job.read && job.group.primary != null && job.group.primary.restUntil > end;
-        end = inVain ? now : end; // guards against a late pushback: nothing will be sent in time
+        boolean blind = job.read && unheard(job);
+        boolean inVain = !job.read ? job.group.primary != null && job.group.primary.restUntil > end
+                : blind && !probesTell && job.group.nodes.stream().allMatch(n -> n.inFlight == 0);
+        end = inVain ? now : end; // guards against a late pushback: nothing will come, or be sent, in time
+        if (blind) { // guards against a gateway that hears little and takes that for a group without room
+            job.group.held.addLast(job);
+            later(Math.min(end, latest(job)), job, null, Input.EXPIRE);
+            return;
+        }
         if (now >= job.group.pressedUntil) {
             job.group.pressedSince = now;
         } else if (now - 8 * brisk >= job.group.pressedSince) { // a line only where it lasts
@@ -503,12 +512,32 @@
         return job.target != null;
     }
 
-    /** Where members check for themselves, a read is sent to one that lags rather than given up. */
+    /** Rather than given up a read is sent to one that lags, where members check, or lent to the primary. */
     private boolean findUnfit(Job job) {
-        job.target = membersCheck && job.read ? replica(job, NEVER) : null;
+        job.target = membersCheck && job.read ? replica(job, NEVER) : lends(job) ? job.group.primary : null;
         return job.target != null;
     }
 
+    /**
+     * Where only answers tell positions and too few come here, replicas that keep pace cannot be known: a read
+     * then goes to a primary that said so itself. Replicas that were heard to lag never lead here.
+     */
+    private boolean lends(Job job) {
+        Node primary = job.group.primary;
+        return job.read && !probesTell && primary != null && primary.role == Role.PRIMARY && usable(primary)
+                && unheard(job) && primary.strain.mean(brisk / 4) <= brisk * 5 / 16;
+    }
+
+    /** Replicas may keep pace, by what was last told here; only the time since then makes them too old. */
+    private boolean unheard(Job job) {
+        Node last = null;
+        for (Node n : job.group.nodes) {
+            last = n != job.group.primary && usable(n) && (last == null || n.heardAt > last.heardAt) ? n : last;
+        }
+        return last != null && now - probeAge >= last.heardAt // a probe would be due
+                && (last.heardAt == LONG_AGO || last.heardAt - last.position + pad < bound(job));
+    }
+
     /** The last known primary; while none is known, writes try members in turn, one round or half the cap. */
     private Node lead(Job job, Need need) {
         Node primary = job.group.primary;
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.*;
 import static reedquay.route.Gate.*;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import reedquay.core.*;
 
@@ -155,6 +156,30 @@
     }
 
     /** Where only draining binds a list may call live members gone: they stay, but for one that is silent for long. */
+    /** Guards against gateways that hear little each: replicas that keep pace cannot be known by old answers. */
+    @Test void boundedReadIsLentToThePrimaryOnlyWhereReplicasWereNotHeardToLag() {
+        Gate gate = new Gate(true, true, false, false);
+        gate.batch(() -> gate.list(Listed.ListKind.REMEMBERED, gate.up("p", true), gate.up("r", false)));
+        gate.answer(gate.last(gate.arrive(ANY, 0)), Outcome.OK, gate.now - 10 * MS, Role.REPLICA);
+        gate.pass(1000);
+        Rpc unsure = gate.arrive(BOUNDED, 0); // the primary has not said yet that it is one
+        gate.pass(6);
+        assertEquals(List.of(unsure), gate.pushedBack);
+        gate.answer(gate.last(gate.arrive(WRITE, 0)), Outcome.OK, gate.now, Role.PRIMARY);
+        for (Method method : List.of(BOUNDED, SESSION)) {
+            Rpc lent = gate.arrive(method, 200 * MS, true, null); // a retry too: nothing speaks of a lack of room
+            gate.pass(6);
+            assertEquals("p", gate.last(lent).member.id);
+            gate.answer(gate.last(lent), Outcome.OK, gate.now, Role.PRIMARY);
+        }
+        gate.pass(200);
+        gate.answer(gate.last(gate.arrive(ANY, 0)), Outcome.OK, gate.now - 400 * MS, Role.REPLICA);
+        Rpc behind = gate.arrive(BOUNDED, 0); // the replica lags: the primary is not the way out
+        gate.pass(101);
+        assertTrue(behind.callOuts.isEmpty());
+        assertEquals(List.of(unsure, behind), gate.pushedBack);
+    }
+
     @Test void memberCalledGoneThatMayLiveIsKept() {
         Gate open = Gate.usual(true);
         open.batch(() -> open.list(Listed.ListKind.FULL, open.up("p", true)));
