SIGHUP during a start is kept for when the gateway is there, and no longer ends it

Cause: Main.serve set the handler behind the rehearsal, 2.7 s after main began at a gateway's share of a core; until then the JVM's own way with SIGHUP is to end, which counts as a failed start. Change: the handler is set before the rehearsal; what is asked for early is done once the gateway listens.

--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -74,6 +74,9 @@
         try {
             // what is wrong with it is told before anything else begins
             Operated operated = ops == null ? null : new Operated(Configuration.read(Path.of(config)), Path.of(ops));
+            Asked reload = new Asked();
+            // guards against the JVM's own way with this signal, which is to end: from here on, a start takes seconds
+            Signal.handle(new Signal("HUP"), signal -> reload.ask());
             rehearse(config);
             Gateway gateway = operated != null ? operated.gateway() : new Gateway(Configuration.read(Path.of(config)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -83,14 +86,13 @@
                 Runtime.getRuntime().halt(0); // a stop that was asked for is no failure
             }));
             Runnable again = operated == null ? null : operated::reload; // no class of it is loaded where it is off
-            // guards against the JVM's own way with this signal, which is to end
-            Signal.handle(new Signal("HUP"), signal -> {
+            System.out.println("listening on " + gateway.start().join());
+            reload.ready(() -> {
                 gateway.reload(Path.of(config));
                 if (again != null) {
                     again.run();
                 }
             });
-            System.out.println("listening on " + gateway.start().join());
             return -1;
         } catch (IOException | RuntimeException e) {
             System.err.println("reedquay: cannot start: " + e.getMessage());
