Reads are lent by how strained the primary is and by utility; its role is learnt by any read

Change: chance falls with the fourth power of the strain, so that a few slow answers do not shut a group for long; reads of less utility give way. Where probes tell nothing a member whose role is unknown is drawn by reads that any member may answer, with its ordinary weight.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -148,7 +148,7 @@
     private final long brisk; // the shortest soft deadline
     private final boolean probesTell, membersCheck, remembered;
     private final boolean goneOpen; // guards against lists that call live members gone: answers tell better
-    private final double coldShare, coldMultiple;
+    private final double coldShare, coldMultiple, dearest; // dearest: the greatest utility of a read
     private final int gateways;
     private final CRC32 crc = new CRC32();
     private final ByteBuffer words = ByteBuffer.allocate(2 * Long.BYTES).order(ByteOrder.LITTLE_ENDIAN);
@@ -179,6 +179,8 @@
         long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
         probeAge = tightest / 2;
+        dearest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED || m.need() == Need.SESSION)
+                .mapToDouble(Method::utility).max().orElse(1);
         floor = 2 * tick;
         pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
@@ -525,7 +527,8 @@
     private boolean lends(Job job) {
         Node primary = job.group.primary;
         return job.read && !probesTell && primary != null && primary.role == Role.PRIMARY && usable(primary)
-                && unheard(job) && primary.strain.mean(brisk / 4) <= brisk * 5 / 16;
+                && unheard(job) && chance() < Math.pow(brisk * 5 / 16.0 * job.rpc.method.utility() / dearest
+                / primary.strain.mean(brisk / 4), 4);
     }
 
     /** Replicas may keep pace, by what was last told here; only the time since then makes them too old. */
@@ -565,7 +568,8 @@
                 return n;
             }
             replicaLeft |= n != primary && alive(n);
-            if (n == primary || !usable(n)) {
+            boolean unasked = any && !probesTell && n.role == Role.UNKNOWN; // by what else would its role be known
+            if (n == primary && !unasked || !usable(n)) {
                 continue;
             }
             double weight = 1 / (n.latency.mean(all.mean(brisk / 4)) * (Math.max(n.load, n.inFlight) + 1));
