--- a/src/main/java/reedquay/core/Decider.java
+++ b/src/main/java/reedquay/core/Decider.java
@@ -21,5 +21,8 @@
 
     void clientGone(Rpc rpc);
 
+    /** The RPC, already in hand, is due sooner than it was told to be. */
+    default void dueSooner(Rpc rpc) { }
+
     void end();
 }
--- a/src/main/java/reedquay/core/Rpc.java
+++ b/src/main/java/reedquay/core/Rpc.java
@@ -8,7 +8,8 @@
     public final long id;
     public final int group;
     public final String session;
-    public final long due;
+    /** When its client gives up, or a stop of this gateway that comes before; set by the front alone. */
+    public long due;
     /** A client's further try; a stage takes the mark off one that it told to come. */
     public boolean retry;
     /** Age of the session's last write at arrival; 0 where there is none. */
--- a/src/main/java/reedquay/core/Stage.java
+++ b/src/main/java/reedquay/core/Stage.java
@@ -62,6 +62,10 @@
         inner.clientGone(rpc);
     }
 
+    @Override public void dueSooner(Rpc rpc) {
+        inner.dueSooner(rpc);
+    }
+
     @Override public void end() {
         inner.end();
     }
--- a/src/main/java/reedquay/members/Ledger.java
+++ b/src/main/java/reedquay/members/Ledger.java
@@ -110,7 +110,7 @@
     private static final int MOST_GONE = 256; // members that went which are remembered beyond a new beginning
 
     private final Effects effects;
-    private final long beat, silence, firstWait;
+    private final long beat, silence, firstWait, lastWait;
     private final List<Source> sources = new ArrayList<>(); // those that live, the oldest first
     private final Map<String, Known> known = new LinkedHashMap<>();
     private final Map<String, Long> gone = new LinkedHashMap<>(); // start of the process that went, the last ones
@@ -119,12 +119,22 @@
     private long now, wait;
     private boolean heard, waiting, closed;
 
-    /** beat: nanoseconds between two signs of life of a source; three without any, and it is silent. */
+    /** Waits grow up to a beat: for lists that bind nobody until they have come. */
     public Ledger(long beat, Effects effects) {
+        this(beat, 2 * beat, effects);
+    }
+
+    /**
+     * beat: nanoseconds between two signs of life of a source; three without any, and it is silent. grace: how long a
+     * drain may go unheeded. A source on this machine counts as having told what it holds, whether it was asked or
+     * not: half of the grace is the longest wait between two tries to ask it.
+     */
+    public Ledger(long beat, long grace, Effects effects) {
         this.beat = beat;
         this.effects = effects;
         silence = 3 * beat;
-        firstWait = beat / 20;
+        lastWait = Math.max(1, Math.min(beat, grace / 2));
+        firstWait = Math.min(beat / 20, lastWait);
         wait = firstWait;
     }
 
@@ -266,7 +276,7 @@
         if (!served && !waiting && !closed) {
             waiting = true;
             effects.openIn(wait);
-            wait = Math.min(2 * wait, beat);
+            wait = Math.min(2 * wait, lastWait);
         }
     }
 
--- a/src/main/java/reedquay/net/Discovery.java
+++ b/src/main/java/reedquay/net/Discovery.java
@@ -40,12 +40,13 @@
     private final Door door;
     private final Bootstrap bootstrap;
     private final EventLoop loop;
-    private final Ledger ledger = new Ledger(BEAT, this);
+    private final Ledger ledger;
 
     Discovery(Door door, Bootstrap bootstrap, EventLoop loop) {
         this.door = door;
         this.bootstrap = bootstrap;
         this.loop = loop;
+        ledger = new Ledger(BEAT, door.settings().rules().drainGrace(), this);
     }
 
     /** Whether discovery itself has told a list since the start. */
--- a/src/main/java/reedquay/net/Door.java
+++ b/src/main/java/reedquay/net/Door.java
@@ -48,7 +48,7 @@
     private final Map<String, Method> methods = new HashMap<>();
     private final Map<String, Pool> pools = new LinkedHashMap<>();
     private final Set<String> complained = new HashSet<>();
-    private final Set<Long> open = new HashSet<>(); // ids of the RPCs in hand
+    private final Map<Long, Rpc> open = new LinkedHashMap<>(); // the RPCs in hand by their ids
     private final ArrayDeque<Consumer<Decider>> inputs = new ArrayDeque<>();
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private final ArrayDeque<MemberConnection> settling = new ArrayDeque<>(); // those that have answered, in order
@@ -140,7 +140,7 @@
 
     /** Whether an RPC of that id has no final answer yet. */
     boolean isOpen(long id) {
-        return open.contains(id);
+        return open.containsKey(id);
     }
 
     Method method(String name) {
@@ -150,6 +150,12 @@
     /** Guards against the kill that ends a stop: nothing is in hand then. */
     void answerBy(long time) {
         answerBy = time;
+        for (Rpc rpc : List.copyOf(open.values())) {
+            if (rpc.due > time) { // its client would wait for longer than this gateway lives
+                rpc.due = time;
+                input(d -> d.dueSooner(rpc));
+            }
+        }
     }
 
     /** An RPC was read whole. */
@@ -164,7 +170,7 @@
         rpc.front = session;
         rpc.caller = callers == null ? null : callers.of(session, statement);
         inHand++;
-        open.add(rpc.id);
+        open.put(rpc.id, rpc);
         counters.add("rpc.taken");
         return rpc;
     }
--- a/src/test/java/reedquay/members/LedgerTest.java
+++ b/src/test/java/reedquay/members/LedgerTest.java
@@ -20,7 +20,7 @@
     private static final long BEAT = 2000 * MS;
 
     /** A ledger with its record of effects and a plain list as a Router would keep it. */
-    private static final class Desk implements Ledger.Effects {
+    private static class Desk implements Ledger.Effects {
         final Ledger ledger = new Ledger(BEAT, this);
         final List<Source> opened = new ArrayList<>();
         final List<Source> closed = new ArrayList<>();
@@ -99,6 +99,25 @@
 
     // ---- By hand ----
 
+    /** Guards against a drain that a source holds, and so counts as told, while nobody asks the source for it. */
+    @Test void aSourceThatRefusesIsAskedAgainWellWithinTheGraceOfADrain() {
+        List<Long> waits = new ArrayList<>();
+        Desk desk = new Desk() {
+            @Override public void openIn(long wait) {
+                waits.add(wait);
+            }
+        };
+        Ledger ledger = new Ledger(BEAT, 500 * MS, desk);
+        ledger.begin(1);
+        ledger.moveTo("late");
+        for (int i = 0; i < 8; i++) {
+            ledger.broken(desk.opened.get(i));
+            ledger.wake();
+        }
+        assertEquals(8, waits.size());
+        assertTrue(waits.stream().allMatch(w -> w <= 250 * MS), waits.toString());
+    }
+
     @Test void whatTheOldSourceStillTellsCountsAfterTheNewOnesFirstWord() {
         Desk d = new Desk();
         Source old = d.source("a");
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -665,6 +665,23 @@
         }
     }
 
+    /** Guards what was taken before a stop and could wait for longer than the platform leaves until the kill. */
+    @Test void stopAnswersWhatWouldWaitBeyondIt() throws IOException {
+        JsonObject patient = configuration();
+        patient.getAsJsonObject("settings").getAsJsonArray("Grades").forEach(
+                g -> g.getAsJsonObject().addProperty("GiveUp", 8000.0));
+        start(patient);
+        try (Client client = ready()) {
+            primary.fault = "silent";
+            client.send(Messages.query(Unpooled.buffer(), write(8000, "a")));
+            await(() -> primary.statements.size() == 1, "the statement is out");
+            var stopped = gateway.stop();
+            assertEquals("E:58000 Z", client.answer());
+            assertEquals("closed", client.answer());
+            stopped.join();
+        }
+    }
+
     /** The longest deadline was counted as three seconds at least: where it is shorter the kill came first. */
     @Test void stopEndsBeforeTheKill() {
         assertTrue(Shutdown.longest(1_000_000_000L) < 1_700_000_000L);
