--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -180,8 +180,8 @@
         long tightest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
         probeAge = tightest / 2;
-        dearest = settings.methods().stream().filter(m -> m.need() == Need.BOUNDED || m.need() == Need.SESSION)
-                .mapToDouble(Method::utility).max().orElse(1);
+        dearest = settings.methods().stream().mapToDouble(m -> m.need() == Need.BOUNDED
+                || m.need() == Need.SESSION ? m.utility() : 0).max().orElse(1);
         floor = 2 * tick;
         pad = 2 * tick;
         probesTell = allowed.probes() && settings.positions().inProbes();
@@ -532,21 +532,22 @@
     }
 
     /**
-     * Where only answers tell positions and too few come here, replicas that keep pace cannot be known: a read
-     * then goes to a primary that said so itself. Replicas that were heard to lag never lead here.
+     * Where only answers tell positions and too few come here, replicas that keep pace cannot be known: a
+     * read then goes to a primary that said so itself. Replicas that were heard to lag never lead here.
      */
     private boolean lends(Job job) {
         Node primary = job.group.primary;
         return job.read && !probesTell && primary != null && primary.role == Role.PRIMARY && usable(primary)
-                && unheard(job) && chance() < Math.pow(brisk * 5 / 16.0 * job.rpc.method.utility() / dearest
-                / primary.strain.mean(brisk / 4), 4);
+                && unheard(job) && chance() < Math.pow(brisk * 5 / 16.0 / primary.strain.mean(brisk / 4), 4)
+                * Math.pow(job.rpc.method.utility() / dearest, 8); // the dearest first: not all have room
     }
 
     /** Replicas may keep pace, by what was last told here; only the time since then makes them too old. */
     private boolean unheard(Job job) {
         Node last = null;
         for (Node n : job.group.nodes) {
-            last = n != job.group.primary && usable(n) && (last == null || n.heardAt > last.heardAt) ? n : last;
+            boolean later = last == null || n.heardAt > last.heardAt;
+            last = n != job.group.primary && usable(n) && later ? n : last;
         }
         return last != null && now - probeAge >= last.heardAt // a probe would be due
                 && (last.heardAt == LONG_AGO || last.heardAt - last.position + pad < bound(job));
@@ -579,7 +580,7 @@
                 return n;
             }
             replicaLeft |= n != primary && alive(n);
-            boolean unasked = any && !probesTell && n.role == Role.UNKNOWN; // by what else would its role be known
+            boolean unasked = any && !probesTell && n.role == Role.UNKNOWN; // what else would tell its role
             if (n == primary && !unasked || !usable(n)) {
                 continue;
             }
@@ -650,9 +651,9 @@
 
     /**
      * Rule 4: in every window a cold member gets three quarters of the stated multiple of its share of what a
-     * member is seen to answer here; what is sent is no measure: under overload it is more. Below one RPC it piles
-     * up to one, from a part drawn at random: one each from many gateways at a time would be too many, and a draw
-     * anew in each window would lapse where no RPC happens to come in it.
+     * member is seen to answer here; what is sent is no measure: under overload it is more. Below one RPC it
+     * piles up to one, from a part drawn at random: one each from many gateways at a time would be too many, and
+     * a draw anew in each window would lapse where no RPC happens to come in it.
      */
     private boolean warmEnough(Node node) {
         node.sends.removeIf(at -> at <= now - coldWindow);
@@ -662,8 +663,8 @@
         double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
         double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
         double budget = Math.max(1.0 / gateways, coldMultiple * share * typical * 3 / 4);
-        double first = node.piledAt == LONG_AGO ? chance() : (double) (now - node.piledAt) / coldWindow * budget;
-        node.piled = Math.min(1, node.piled + first);
+        double more = (double) (now - node.piledAt) / coldWindow * budget;
+        node.piled = Math.min(1, node.piled + (node.piledAt == LONG_AGO ? chance() : more));
         node.piledAt = now;
         return budget >= 1 ? node.sends.size() < (int) budget : node.sends.isEmpty() && node.piled >= 1;
     }
