--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -652,8 +652,8 @@
     /**
      * Rule 4: in every window a cold member gets three quarters of the stated multiple of its share of what a
      * member is seen to answer here; what is sent is no measure: under overload it is more. Below one RPC it
-     * piles up to one, from a part drawn at random: one each from many gateways at a time would be too many, and
-     * a draw anew in each window would lapse where no RPC happens to come in it.
+     * piles up to one, from a part drawn at random: one each from many gateways at a time would be too many,
+     * and a draw anew in each window would lapse where no RPC happens to come in it.
      */
     private boolean warmEnough(Node node) {
         node.sends.removeIf(at -> at <= now - coldWindow);
