--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -113,10 +113,9 @@
         long position = Report.NO_POSITION, roleAt = LONG_AGO, startedAt = LONG_AGO, probedAt = LONG_AGO;
         long heardAt = LONG_AGO; // when a position was last told
         double busy, load; // smoothed, as reported: its cores' work, calls in flight there from all gateways
-        int inFlight, strikes; // strikes: times turned away in a row
-        double piled; // of a cold member: the part of an RPC that it may be sent
+        int inFlight, allowance, strikes; // of a cold member, by window; times turned away in a row
         double room = ROOM; // how many call-outs may be in flight
-        long piledAt = LONG_AGO, restUntil = LONG_AGO, cutAt = LONG_AGO;
+        long drawnAt = LONG_AGO, restUntil = LONG_AGO, cutAt = LONG_AGO;
         boolean aside, reported, probing, gone; // reported: the log says that it is aside
         boolean mayTry; // while aside: a probe came back, one RPC may be risked
         long reportedAt, quietSince, trialWait, trialAt;
@@ -259,8 +258,7 @@
             long start = entry.startedAt() == 0 ? LONG_AGO : entry.startedAt();
             if (start > node.startedAt) { // a new process is judged anew
                 node.startedAt = start;
-                node.piledAt = LONG_AGO;
-                node.piled = 0;
+                node.drawnAt = LONG_AGO;
                 node.aside = false;
             }
             node.aside &= !opened;
@@ -436,9 +434,7 @@
         boolean fit = node == job.group.primary || (job.read ? bound == NEVER || estimate(node) < bound
                 : job.group.primary == null);
         node.sends.removeLastOccurrence(job.ready.sentAt);
-        node.piled += 1;
         boolean warm = warmEnough(node);
-        node.piled -= 1;
         node.sends.addLast(job.ready.sentAt = now);
         return fit && node.open && node.group == job.group && warm && mayRepeat(job);
     }
@@ -452,7 +448,6 @@
         node.quietSince = node.inFlight++ == 0 ? now : node.quietSince;
         node.mayTry = false;
         node.sends.addLast(now);
-        node.piled -= 1;
         effects.callOut(call, 0);
         watch(job);
     }
@@ -652,21 +647,21 @@
     /**
      * Rule 4: in every window a cold member gets three quarters of the stated multiple of its share of what a
      * member is seen to answer here; what is sent is no measure: under overload it is more. Below one RPC it
-     * piles up to one, from a part drawn at random: one each from many gateways at a time would be too many,
-     * and a draw anew in each window would lapse where no RPC happens to come in it.
+     * is a chance drawn anew in each window: one each from many gateways would be too many.
      */
     private boolean warmEnough(Node node) {
         node.sends.removeIf(at -> at <= now - coldWindow);
         if (node.startedAt == LONG_AGO || now - node.startedAt >= coldFor) {
             return true;
         }
-        double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
-        double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
-        double budget = Math.max(1.0 / gateways, coldMultiple * share * typical * 3 / 4);
-        double more = (double) (now - node.piledAt) / coldWindow * budget;
-        node.piled = Math.min(1, node.piled + (node.piledAt == LONG_AGO ? chance() : more));
-        node.piledAt = now;
-        return budget >= 1 ? node.sends.size() < (int) budget : node.sends.isEmpty() && node.piled >= 1;
+        if (node.drawnAt != windowStart) {
+            node.drawnAt = windowStart;
+            double share = coldShare + (1 - coldShare) * Math.max(0, now - node.startedAt) / coldFor;
+            double typical = Math.max(lastOks, oks) / (double) Math.max(1, nodes.size());
+            double budget = Math.max(1.0 / gateways, coldMultiple * share * typical * 3 / 4);
+            node.allowance = budget >= 1 ? (int) budget : chance() < budget ? 1 : 0;
+        }
+        return node.sends.size() < node.allowance;
     }
 
     // ---- Health ----
