A fresh read that waited for its connection needs a primary still

Cause: Router.stillFits took any member for what may not go to a replica once no primary was known, which is right for a write, that tries members in turn, and wrong for a fresh read, that waits. It needs a primary that says it is none while the connection to it comes up. Change: only a write goes on there. The model keeps the data of a member that is forgotten and named again. Test: freshReadIsNotSentToWhatIsNoPrimaryAnyMore, seen to fail without the change.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -430,7 +430,7 @@
         Node node = (Node) job.ready.member.state;
         long bound = membersCheck ? NEVER : bound(job);
         boolean fit = node == job.group.primary || (job.read ? bound == NEVER || estimate(node) < bound
-                : job.group.primary == null);
+                : job.group.primary == null && job.rpc.method.need() == Need.WRITE); // a fresh read needs one
         node.sends.removeLastOccurrence(job.ready.sentAt);
         boolean warm = warmEnough(node);
         node.sends.addLast(job.ready.sentAt = now);
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -431,6 +431,18 @@
     }
 
     /** What waited for its connection met a drain, a cold start, or an age that had grown meanwhile. */
+    /** Guards a fresh read against a primary that was told to be none while the connection to it came up. */
+    @Test void freshReadIsNotSentToWhatIsNoPrimaryAnyMore() {
+        gate.batch(() -> gate.router.probed(gate.member("p"), Outcome.OK, MS,
+                new Report(gate.now, Role.PRIMARY, -1, -1, -1)));
+        CallOut call = gate.last(gate.arrive(FRESH, 0));
+        call.waiting = true;
+        gate.batch(() -> gate.router.probed(gate.member("p"), Outcome.OK, MS,
+                new Report(gate.now, Role.REPLICA, -1, -1, -1)));
+        gate.batch(() -> gate.router.ready(call));
+        assertTrue(gate.cancelled.contains(call));
+    }
+
     @Test void callOutThatWaitedForItsConnectionIsJudgedOnceMore() {
         for (int i = 0; i < 4; i++) {
             Gate gate = usual();
--- a/src/test/java/reedquay/route/RulesTest.java
+++ b/src/test/java/reedquay/route/RulesTest.java
@@ -196,6 +196,11 @@
             goes(call);
         }
 
+        @Override public void forget(Member member) {
+            super.forget(member);
+            truth.put(member(member.id), truth.get(member)); // named again it is the same machine
+        }
+
         @Override public void cancel(CallOut call) {
             super.cancel(call);
             if (waiting.remove(call)) {
