Count and trace the reason of every close of a client's connection

Each session now has one reason for its end, counted as client.closed.REASON and traced with the id of the RPC in flight; a close by the gateway's own will while an RPC is in flight is counted as client.closed.owing, which has to stay 0.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -51,6 +51,7 @@
     private boolean resumeScheduled;
     private Map<String, String> startupParameters; // null where no client identifier is configured
     private String clientAddress;
+    private CloseReason closeReason; // null while the connection is open
 
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
         this.gateway = gateway;
@@ -133,7 +134,7 @@
         channel.config().setAutoRead(queuedBytes <= dispatcher.limits.maxQueuedBytes
                 && !dispatcher.limits.isMemoryFull());
         if (draining && state == State.IDLE && queued.isEmpty()) {
-            closeAfterFlush();
+            closeAfterFlush(CloseReason.DRAIN);
         }
         gateway.setIdle(this, state == State.IDLE && queued.isEmpty());
     }
@@ -152,6 +153,7 @@
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
+                closing(CloseReason.LINGER);
                 channel.close();
             }
         } else if (state != State.STARTUP && !decoder.hasPartialMessage() || !channel.config().isAutoRead()) {
@@ -160,7 +162,7 @@
             if (decoder.hasPartialMessage()) {
                 rejectInput("a message that does not end");
             } else {
-                dispatcher.counters.add("client.closed.silent");
+                closing(CloseReason.SILENT);
                 channel.close();
             }
         }
@@ -209,7 +211,7 @@
                 }
                 handleQuery(frame);
             }
-            case 'X' -> closeAfterFlush();
+            case 'X' -> closeAfterFlush(CloseReason.TERMINATE);
             case 'P', 'B', 'D', 'E', 'C', 'F' -> {
                 if (state != State.SKIPPING_TO_SYNC) {
                     write(Messages.errorResponse(buffer(), "ERROR", "0A000", "only simple queries are served", null));
@@ -228,7 +230,7 @@
     private void handleStartup(Frame frame) {
         switch (frame.startupCode()) {
             case Frame.SSL_REQUEST, Frame.GSS_ENCRYPTION_REQUEST -> write(buffer().writeByte('N'));
-            case Frame.CANCEL_REQUEST -> closeAfterFlush();
+            case Frame.CANCEL_REQUEST -> closeAfterFlush(CloseReason.CANCEL);
             default -> {
                 if (frame.startupCode() >>> 16 != 3) {
                     sendFatalError("0A000", "only version 3 of the protocol is served");
@@ -379,12 +381,28 @@
     void drain() {
         draining = true;
         if (state == State.IDLE && queued.isEmpty() || state == State.STARTUP || state == State.AWAITING_READINESS) {
-            closeAfterFlush();
+            closeAfterFlush(CloseReason.DRAIN);
         }
     }
 
+    /**
+     * Counts and traces the reason for which the connection closes; the first one counts. A close by the gateway's own
+     * will while an RPC is in flight also counts as client.closed.owing: its client gets no answer.
+     */
+    private void closing(CloseReason reason) {
+        if (closeReason != null) {
+            return;
+        }
+        closeReason = reason;
+        dispatcher.counters.add(reason.counter());
+        boolean owing = rpc != null && reason != CloseReason.CLIENT && reason != CloseReason.BROKEN;
+        dispatcher.counters.add("client.closed.owing", owing ? 1 : 0);
+        dispatcher.sessionClosing(connectionId(), reason, rpc);
+    }
+
     /** Closes the connection once all output is written. */
-    void closeAfterFlush() {
+    void closeAfterFlush(CloseReason reason) {
+        closing(reason);
         state = State.CLOSING;
         lastProgressAt = dispatcher.clock.now();
         channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
@@ -397,6 +415,7 @@
      */
     private void sendFatalError(String code, String message) {
         dispatcher.counters.add("client.malformed");
+        closing(CloseReason.MALFORMED);
         dispatcher.logOnce("a client violated the protocol: " + message);
         state = State.CLOSING;
         lastProgressAt = dispatcher.clock.now();
@@ -413,6 +432,7 @@
     }
 
     @Override public void channelInactive(ChannelHandlerContext ctx) {
+        closing(CloseReason.CLIENT);
         state = State.CLOSING;
         setPartialBytes(0);
         queued.forEach(this::release);
@@ -430,12 +450,14 @@
 
     @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof java.io.IOException) {
+            closing(CloseReason.BROKEN);
             ctx.close();
         } else if (cause instanceof DecoderException) {
             rejectInput("what is no message, or one of an impossible length");
         } else { // any other failure ends this session alone
             dispatcher.counters.add("client.failed");
             dispatcher.logOnce("a client session failed: " + cause.getClass().getSimpleName());
+            closing(CloseReason.FAILED);
             ctx.close();
         }
     }
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -189,6 +189,11 @@
         return rpc;
     }
 
+    /** Traces the end of a client's connection; rpc: the one in flight, null for none. */
+    void sessionClosing(String connectionId, CloseReason reason, Rpc rpc) {
+        trace.sessionClosing(connectionId, reason, rpc);
+    }
+
     /** Ends an RPC whose client has disconnected; it gets no answer. */
     void clientDisconnected(Rpc rpc) {
         if (!rpc.ended) {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -287,11 +287,10 @@
         if (session == null || session == keep) {
             return false;
         }
-        counters.add("client.closed.room");
         startedSessions.remove(session);
         unusedSessions.remove(session);
         idleSessions.remove(session);
-        session.closeAfterFlush();
+        session.closeAfterFlush(CloseReason.ROOM);
         return true;
     }
 
@@ -409,7 +408,7 @@
         if (listener != null) {
             listener.close();
         }
-        new ArrayList<>(sessions).forEach(ClientSession::closeAfterFlush);
+        new ArrayList<>(sessions).forEach(session -> session.closeAfterFlush(CloseReason.SHUTDOWN));
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         stopped.complete(null);
     }
--- a/src/main/java/reedquay/net/Trace.java
+++ b/src/main/java/reedquay/net/Trace.java
@@ -49,6 +49,13 @@
         }
     }
 
+    /** rpc: the one in flight on the connection, null for none. */
+    void sessionClosing(String connectionId, CloseReason reason, Rpc rpc) {
+        if (enabled) {
+            line((rpc == null ? "" : id(rpc) + " ") + "session " + connectionId + " closes: " + reason);
+        }
+    }
+
     /** Logs when this gateway was notified of members that are not UP. */
     void membersListed(List<ListedMember> entries) {
         if (enabled) {
