--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -37,7 +37,7 @@
     private final EventLoop loop = group.next();
     private final Configuration configuration;
     private final ClientIdentifier clientIdentifier; // null where only tenants are identified
-    private final MonotonicClock clock = new MonotonicClock();
+    private final MonotonicClock clock;
     private final Counters counters = new Counters();
     private final Limits limits;
     private final Dispatcher dispatcher;
@@ -50,8 +50,8 @@
     private final Set<ClientSession> idleSessions = new LinkedHashSet<>(); // between statements, longest idle first
     private final List<Runnable> readinessCallbacks = new ArrayList<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private final long startedAt = clock.now();
-    private long lastSweepAt = startedAt;
+    private final long startedAt;
+    private long lastSweepAt;
     private boolean ready;
     private boolean stopRequested;
     private boolean stopping; // accepts no more; terminates with its last session
@@ -66,7 +66,14 @@
 
     /** A gateway with other components, such as stages before the Router. */
     public Gateway(Configuration configuration, GatewayComponents components) {
+        this(configuration, components, new MonotonicClock());
+    }
+
+    Gateway(Configuration configuration, GatewayComponents components, MonotonicClock clock) {
         this.configuration = configuration;
+        this.clock = clock;
+        startedAt = clock.now();
+        lastSweepAt = startedAt;
         clientIdentifier = components.clientIdentifier();
         limits = new Limits(configuration.sockets(), configuration.memoryMb());
         int connectMillis = 60_000; // never reached: the pool's sweep applies the connect timeout
--- /dev/null
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -0,0 +1,189 @@
+package reedquay.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reedquay.core.RoutingEngine;
+import reedquay.pg.Messages;
+
+/**
+ * Tests that a gateway closes no connection by its own will while its client is owed an answer. A scripted engine
+ * decides when RPCs are answered, so that no test depends on timing.
+ */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class SessionClosingTest {
+    private static final int SOCKETS = 128;
+
+    private ScriptedEngine engine;
+    private Gateway gateway;
+    private InetSocketAddress address;
+    private int nextId = 0x1000;
+
+    private static JsonObject configuration() throws IOException {
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:9"); // nothing listens there
+        config.getAsJsonObject("limits").addProperty("sockets", SOCKETS);
+        return config;
+    }
+
+    private void start(JsonObject config, ClientIdentifier identifier) {
+        gateway = new Gateway(Configuration.parse(config.toString()),
+                new GatewayComponents((settings, actions) -> newEngine(new ScriptedEngine(actions)), identifier));
+        address = gateway.start().join();
+    }
+
+    private RoutingEngine newEngine(ScriptedEngine newEngine) {
+        engine = newEngine;
+        return newEngine;
+    }
+
+    @AfterEach void stop() {
+        gateway.stop().join();
+        assertEquals(0, counter("client.closed.owing"));
+        assertEquals(0, counter("client.discarded"));
+    }
+
+    private long counter(String name) {
+        return gateway.counters().join().getOrDefault(name, 0L);
+    }
+
+    private BlockingClient connect() throws IOException {
+        return new BlockingClient(address).startup();
+    }
+
+    private ByteBuf rpc(String method) {
+        String sql = method.equals("order") ? ",k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('k', 'v')"
+                + " RETURNING data" : ",cluster=1 */ SELECT data FROM facts WHERE code = 'k'";
+        return Messages.query(Unpooled.buffer(),
+                "/* id=" + Integer.toHexString(nextId++) + ",c=" + method + ",t=acme,d=3000" + sql);
+    }
+
+    private void awaitHeld(int count) throws InterruptedException {
+        int[] held = {-1};
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); held[0] != count; ) {
+            assertTrue(System.nanoTime() < end, held[0] + " RPCs are held instead of " + count);
+            gateway.runOnEventLoop(() -> held[0] = engine.held.size()).join();
+            Thread.sleep(2);
+        }
+    }
+
+    /**
+     * Prevents the loss of an RPC whose session is closed for room, which happens when other RPCs are answered while
+     * this one starts and the session still counts as the longest idle one.
+     */
+    @Test void sessionWhoseRpcJustStartedIsNotClosedForRoom() throws Exception {
+        start(configuration(), null);
+        List<BlockingClient> writers = new ArrayList<>();
+        while (writers.size() < new Limits(SOCKETS, 192).startedSessionsSoftLimit) {
+            writers.add(connect());
+            writers.get(writers.size() - 1).send(rpc("order"));
+        }
+        awaitHeld(writers.size());
+        BlockingClient reader = connect();
+        assertEquals("C Z", reader.ask("SET x = 1"));
+        engine.onArrival = arrived -> engine.pushBackHeld();
+        reader.send(rpc("history"));
+        for (BlockingClient writer : writers) {
+            assertEquals("E:53300 Z", writer.readAnswer());
+        }
+        awaitHeld(1);
+        gateway.runOnEventLoop(engine::pushBackHeld).join();
+        assertEquals("E:53300 Z", reader.readAnswer());
+        for (BlockingClient writer : writers) {
+            writer.close();
+        }
+        reader.close();
+    }
+
+    /** Prevents the loss of an RPC that follows an empty query on a gateway that drains before it is ready. */
+    @Test void rpcBehindAnUnansweredEmptyQueryIsAnsweredAtADrain() throws Exception {
+        JsonObject config = configuration();
+        config.getAsJsonObject("settings").getAsJsonArray("Grades").forEach(method -> {
+            method.getAsJsonObject().addProperty("OnTime", 100.0);
+            method.getAsJsonObject().addProperty("GiveUp", 200.0);
+        });
+        start(config, null);
+        engine.onArrival = arrived -> engine.pushBackHeld();
+        try (BlockingClient client = connect()) {
+            client.send(Messages.query(Unpooled.buffer(), "").writeBytes(rpc("history")));
+            gateway.stop();
+            assertTrue(client.readAnswer().endsWith("Z"));
+            String answer = client.readAnswer();
+            assertTrue(answer.startsWith("E:") && answer.endsWith("Z"), answer);
+        }
+    }
+
+    /** Prevents the loss of an RPC of which a first part has been read when the gateway drains. */
+    @Test void rpcThatIsHalfReadAtADrainIsAnswered() throws Exception {
+        start(configuration(), null);
+        try (BlockingClient idle = connect(); BlockingClient client = connect()) {
+            ByteBuf message = rpc("history");
+            gateway.stop();
+            Thread.sleep(2_500); // a message may stay incomplete for 2 s, and the drain begins 3.2 s after the stop
+            client.send(message.readRetainedSlice(20));
+            assertEquals("closed", idle.readAnswer());
+            client.send(message);
+            awaitHeld(1);
+            gateway.runOnEventLoop(engine::pushBackHeld).join();
+            assertEquals("E:53300 Z", client.readAnswer());
+            assertEquals("closed", client.readAnswer());
+        }
+    }
+
+    /** Prevents the loss of RPCs that are in flight or queued when a shutdown ends, whatever the engine does. */
+    @Test void rpcsInFlightAndQueuedAreAnsweredAtTheEndOfAShutdown() throws Exception {
+        start(configuration(), null);
+        try (BlockingClient client = connect()) {
+            client.send(rpc("order").writeBytes(rpc("history")).writeBytes(rpc("order")));
+            awaitHeld(1);
+            gateway.stop().join();
+            assertEquals("E:58000 Z", client.readAnswer());
+            assertEquals("E:57P03 Z", client.readAnswer());
+            assertEquals("E:57P03 Z", client.readAnswer());
+            assertEquals("closed", client.readAnswer());
+        }
+    }
+
+    /** Prevents the loss of an RPC whose session fails: it is answered as failed before the connection closes. */
+    @Test void rpcIsAnsweredWhenItsSessionFails() throws Exception {
+        start(configuration(), new ClientIdentifier(null, null)); // fails at each RPC
+        try (BlockingClient client = connect()) {
+            client.send(rpc("history").writeBytes(rpc("history")));
+            assertEquals("E:58000 Z", client.readAnswer());
+            assertEquals("E:57P03 Z", client.readAnswer());
+            assertEquals("closed", client.readAnswer());
+            assertEquals(1, counter("client.failed"));
+        }
+    }
+
+    /** Prevents the loss of an RPC on which a decision fails, which then has no timer that would end it. */
+    @Test void rpcIsAnsweredWhenItsDecisionFails() throws Exception {
+        start(configuration(), null);
+        engine.onArrival = arrived -> {
+            throw new NoClassDefFoundError("no descriptor left to load a class");
+        };
+        try (BlockingClient client = connect()) {
+            long sentAt = System.nanoTime();
+            client.send(rpc("history"));
+            assertEquals("E:58000 Z", client.readAnswer());
+            long lateMillis = (System.nanoTime() - sentAt) / 1_000_000 - 1200; // after the deadline of the method
+            assertTrue(lateMillis < 500, "an RPC counts as lost half a second after its deadline: " + lateMillis);
+            engine.onArrival = arrived -> engine.pushBackHeld();
+            assertEquals(1, counter("broken.decision"));
+        }
+    }
+}
