Close no session for room while its client is owed an answer

Callers saw the end of their connection with no answer to a read that had been forwarded. Cause: processQueue took the session out of the set of idle ones only after it had handled the message. The RPC's batch answers other RPCs, whose sessions become idle, which closes the longest idle session beyond the soft limit: the one that just sent. Class: a set that lags behind its owner's state, read by a callback that runs while the state is half changed.

The session leaves the set before its message is handled, and the one place that closes for room takes only sessions that owe nothing (an RPC, a queued message, input being decoded, a part of a message). The second way in, the oldest unused session where none is idle, has the same guard. client.closed.owing counts closes by the gateway's will over any of these.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -52,6 +52,7 @@
     private Map<String, String> startupParameters; // null where no client identifier is configured
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
+    private boolean reading; // input that has been received is being decoded, so that more messages may follow
 
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
         this.gateway = gateway;
@@ -72,6 +73,7 @@
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
         Frame frame = (Frame) message;
+        reading = true;
         if (state != State.STARTUP) {
             lastProgressAt = gateway.lastSweepAt();
         }
@@ -82,6 +84,7 @@
     }
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+        reading = false;
         ctx.flush();
         setPartialBytes(decoder.bufferedBytes());
     }
@@ -115,6 +118,7 @@
                 gateway.setIdle(this, false);
                 return;
             }
+            gateway.setIdle(this, false); // before any callback of this message can look for a session to close
             Frame frame = queued.pollFirst();
             queuedBytes -= Limits.memoryCost(frame);
             try {
@@ -172,6 +176,15 @@
         return connectedAt;
     }
 
+    /**
+     * Whether the client has sent something that is not answered yet: an RPC in flight, a message that waits, or a part
+     * of a message after the startup. Such a session is never closed to free resources.
+     */
+    boolean owesAnswer() {
+        return rpc != null || reading || !queued.isEmpty() || state == State.IN_FLIGHT
+                || state == State.AWAITING_READINESS || state != State.STARTUP && decoder.bufferedBytes() > 0;
+    }
+
     /** Whether reading is paused because the gateway's memory for messages is full. */
     boolean isPausedForMemory() {
         return !channel.config().isAutoRead() && queuedBytes <= dispatcher.limits.maxQueuedBytes
@@ -387,7 +400,7 @@
 
     /**
      * Counts and traces the reason for which the connection closes; the first one counts. A close by the gateway's own
-     * will while an RPC is in flight also counts as client.closed.owing: its client gets no answer.
+     * will while the client is owed an answer also counts as client.closed.owing.
      */
     private void closing(CloseReason reason) {
         if (closeReason != null) {
@@ -395,8 +408,7 @@
         }
         closeReason = reason;
         dispatcher.counters.add(reason.counter());
-        boolean owing = rpc != null && reason != CloseReason.CLIENT && reason != CloseReason.BROKEN;
-        dispatcher.counters.add("client.closed.owing", owing ? 1 : 0);
+        dispatcher.counters.add("client.closed.owing", reason.requiresAllAnswered && owesAnswer() ? 1 : 0);
         dispatcher.sessionClosing(connectionId(), reason, rpc);
     }
 
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -250,7 +250,7 @@
         unusedSessions.add(session);
         if (limits.clientOpened()) {
             ClientSession candidate = sessionToClose();
-            closeToFreeDescriptor(candidate != null ? candidate : firstOf(unusedSessions), session);
+            closeToFreeDescriptor(candidate != null ? candidate : firstClosable(unusedSessions), session);
         }
         updateAccepting();
     }
@@ -279,14 +279,19 @@
      * that has just connected is neither: its first statement may not have been read yet, and it would reconnect.
      */
     private ClientSession sessionToClose() {
-        ClientSession oldest = firstOf(unusedSessions);
+        ClientSession oldest = firstClosable(unusedSessions);
         boolean sentNothing = oldest != null
                 && clock.now() - oldest.connectedAt() >= dispatcher.settings().capabilities().connectTimeout();
-        return sentNothing ? oldest : firstOf(idleSessions);
+        return sentNothing ? oldest : firstClosable(idleSessions);
     }
 
-    private static ClientSession firstOf(Set<ClientSession> ordered) {
-        return ordered.isEmpty() ? null : ordered.iterator().next();
+    private static ClientSession firstClosable(Set<ClientSession> ordered) {
+        for (ClientSession session : ordered) {
+            if (!session.owesAnswer()) {
+                return session;
+            }
+        }
+        return null;
     }
 
     /** Closes the session, unless it is null or the one to keep; returns whether it was closed. */
