Drain no session while its client is owed an answer

Callers lost RPCs that stood behind an empty query on a gateway that drained before it was ready, and connections over an RPC of which a part had been read; what came while the last output was waiting was read and thrown away. Cause: drain closed by its own list of states and looked at whole messages only, and a closing session went on reading. Found by reading the related paths of the close for room: the same class, a close decided by less than the whole state.

A drained session now closes by the same question as a close for room, also at the end of each read; the empty query is answered with 57P03, and a closing session stops reading, so that later bytes count as unread. Messages that are still thrown away are counted as client.discarded. The test of the half-read RPC failed before and passes; the one behind the empty query now gets as far as the end of the shutdown, which is the next fault.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -85,6 +85,7 @@
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
+        closeIfDrained();
         ctx.flush();
         setPartialBytes(decoder.bufferedBytes());
     }
@@ -137,9 +138,7 @@
         // reading is paused for a client that pipelines too much or reads no answers, and for all while memory is short
         channel.config().setAutoRead(queuedBytes <= dispatcher.limits.maxQueuedBytes
                 && !dispatcher.limits.isMemoryFull());
-        if (draining && state == State.IDLE && queued.isEmpty()) {
-            closeAfterFlush(CloseReason.DRAIN);
-        }
+        closeIfDrained();
         gateway.setIdle(this, state == State.IDLE && queued.isEmpty());
     }
 
@@ -207,6 +206,8 @@
 
     private void handle(Frame frame) {
         if (state == State.CLOSING) {
+            boolean owed = frame.type == 'Q' && closeReason != null && closeReason.requiresAllAnswered;
+            dispatcher.counters.add("client.discarded", owed ? 1 : 0);
             return;
         }
         if (frame.type == Frame.UNTYPED) {
@@ -390,14 +391,29 @@
         }
     }
 
-    /** From now on the session closes as soon as it has no RPC in flight and no queued message. */
+    /** From now on the session closes as soon as its client is owed no answer. */
     void drain() {
         draining = true;
-        if (state == State.IDLE && queued.isEmpty() || state == State.STARTUP || state == State.AWAITING_READINESS) {
+        if (state == State.AWAITING_READINESS) {
+            state = State.IDLE;
+            write(refusal());
+            resume();
+        }
+        closeIfDrained();
+    }
+
+    private void closeIfDrained() {
+        if (draining && (state == State.IDLE || state == State.STARTUP) && !owesAnswer()) {
             closeAfterFlush(CloseReason.DRAIN);
         }
     }
 
+    /** The answer to a statement that this gateway does not handle any more; nothing of it has run. */
+    private ByteBuf refusal() {
+        return Messages.readyForQuery(
+                Messages.errorResponse(buffer(), "ERROR", "57P03", "the gateway is shutting down", null));
+    }
+
     /**
      * Counts and traces the reason for which the connection closes; the first one counts. A close by the gateway's own
      * will while the client is owed an answer also counts as client.closed.owing.
@@ -416,6 +432,7 @@
     void closeAfterFlush(CloseReason reason) {
         closing(reason);
         state = State.CLOSING;
+        channel.config().setAutoRead(false); // what is not read by now, the client can send again elsewhere
         lastProgressAt = dispatcher.clock.now();
         channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
     }
