Answer every RPC before the end of a shutdown closes its connection

Callers with pipelined statements saw their connection end without answers when a shutdown reached its end: terminate closed every session whatever it owed, and closed the members' connections first, so that failed call-outs were tried again.

Sessions are now abandoned before the members' connections close: the RPC in flight is answered as failed (58000, counted as rpc.unanswered), waiting statements are refused (57P03, they never ran). The end of a shutdown completes even if one of its steps fails.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -52,6 +52,7 @@
     private Map<String, String> startupParameters; // null where no client identifier is configured
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
+    private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
     private boolean reading; // input that has been received is being decoded, so that more messages may follow
 
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
@@ -86,6 +87,7 @@
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         reading = false;
         closeIfDrained();
+        closeIfAbandoned();
         ctx.flush();
         setPartialBytes(decoder.bufferedBytes());
     }
@@ -109,7 +111,7 @@
     /** Handles queued messages until an RPC is in flight, the client stops reading, or others are to be served. */
     private void processQueue() {
         while (!queued.isEmpty() && state != State.IN_FLIGHT && state != State.AWAITING_READINESS
-                && (channel.isWritable() || state == State.CLOSING)) {
+                && (channel.isWritable() || abandonReason != null || state == State.CLOSING)) {
             // hundreds of commands at once must not delay other clients
             if (++messagesSinceYield > MAX_MESSAGES_BEFORE_YIELD) {
                 if (!resumeScheduled) {
@@ -180,8 +182,11 @@
      * of a message after the startup. Such a session is never closed to free resources.
      */
     boolean owesAnswer() {
-        return rpc != null || reading || !queued.isEmpty() || state == State.IN_FLIGHT
-                || state == State.AWAITING_READINESS || state != State.STARTUP && decoder.bufferedBytes() > 0;
+        return hasUnansweredMessage() || reading || state != State.STARTUP && decoder.bufferedBytes() > 0;
+    }
+
+    private boolean hasUnansweredMessage() {
+        return state == State.IN_FLIGHT || state == State.AWAITING_READINESS || !queued.isEmpty();
     }
 
     /** Whether reading is paused because the gateway's memory for messages is full. */
@@ -303,6 +308,10 @@
     }
 
     private void startRpc(Frame frame) {
+        if (abandonReason != null) {
+            write(refusal());
+            return;
+        }
         Statement parsed;
         try {
             parsed = new Statement(frame);
@@ -408,6 +417,34 @@
         }
     }
 
+    /**
+     * Closes the connection because the gateway stops or the session has failed. The RPC in flight is answered as
+     * failed, since it may have run, and statements that wait are refused.
+     */
+    void abandon(CloseReason reason) {
+        if (abandonReason != null || state == State.CLOSING) {
+            return;
+        }
+        abandonReason = reason;
+        if (rpc != null) {
+            dispatcher.abortUnanswered(rpc);
+        } else if (state == State.IN_FLIGHT) { // it failed before it became an RPC
+            sendError("58000", "the statement failed and may have run", null);
+        } else if (state == State.AWAITING_READINESS) {
+            state = State.IDLE;
+            write(refusal());
+        }
+        messagesSinceYield = Integer.MIN_VALUE; // there is no later turn
+        processQueue();
+        closeIfAbandoned();
+    }
+
+    private void closeIfAbandoned() {
+        if (abandonReason != null && !reading && state != State.CLOSING) {
+            closeAfterFlush(abandonReason);
+        }
+    }
+
     /** The answer to a statement that this gateway does not handle any more; nothing of it has run. */
     private ByteBuf refusal() {
         return Messages.readyForQuery(
@@ -424,7 +461,7 @@
         }
         closeReason = reason;
         dispatcher.counters.add(reason.counter());
-        dispatcher.counters.add("client.closed.owing", reason.requiresAllAnswered && owesAnswer() ? 1 : 0);
+        dispatcher.counters.add("client.closed.owing", reason.requiresAllAnswered && hasUnansweredMessage() ? 1 : 0);
         dispatcher.sessionClosing(connectionId(), reason, rpc);
     }
 
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -194,6 +194,16 @@
         trace.sessionClosing(connectionId, reason, rpc);
     }
 
+    /** Answers an RPC as failed without asking the engine, which then cancels its call-outs. */
+    void abortUnanswered(Rpc rpc) {
+        if (!rpc.ended) {
+            counters.add("rpc.unanswered");
+            recordFinalAnswer(rpc, "rpc.aborted", false);
+            sendAbort(rpc);
+            submitInput(engine -> engine.clientGone(rpc));
+        }
+    }
+
     /** Ends an RPC whose client has disconnected; it gets no answer. */
     void clientDisconnected(Rpc rpc) {
         if (!rpc.ended) {
@@ -327,6 +337,10 @@
 
     @Override public void abort(Rpc rpc) {
         recordFinalAnswer(rpc, "rpc.aborted", true);
+        sendAbort(rpc);
+    }
+
+    private static void sendAbort(Rpc rpc) {
         ((ClientSession) rpc.frontState).sendError("58000", "the statement failed and may have run", null);
     }
 
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -55,6 +55,7 @@
     private boolean ready;
     private boolean stopRequested;
     private boolean stopping; // accepts no more; terminates with its last session
+    private boolean terminating;
     private boolean listening;
     private Channel listener;
     private InetSocketAddress discoveryAddress; // from the last configuration read
@@ -412,17 +413,21 @@
     }
 
     private void terminate() {
-        if (stopped.isDone()) {
+        if (terminating) {
             return;
         }
-        discovery.close();
-        dispatcher.close();
-        if (listener != null) {
-            listener.close();
+        terminating = true;
+        try {
+            new ArrayList<>(sessions).forEach(session -> session.abandon(CloseReason.SHUTDOWN));
+            discovery.close();
+            dispatcher.close();
+            if (listener != null) {
+                listener.close();
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            stopped.complete(null);
         }
-        new ArrayList<>(sessions).forEach(session -> session.closeAfterFlush(CloseReason.SHUTDOWN));
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-        stopped.complete(null);
     }
 
     /** The current value of every counter, by name. */
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -403,7 +403,11 @@
         endpoint.trialAllowed = endpoint.ejected && outcome == Outcome.OK;
     }
 
-    @Override public void clientGone(Rpc rpc) { handle((PendingRpc) rpc.routingState, Event.CLIENT_GONE); }
+    @Override public void clientGone(Rpc rpc) {
+        if (rpc.routingState != null) { // null where its arrival failed
+            handle((PendingRpc) rpc.routingState, Event.CLIENT_GONE);
+        }
+    }
 
     @Override public String explain(Rpc rpc) {
         PendingRpc pending = (PendingRpc) rpc.routingState;
