Answer the RPCs of a session that fails before its connection closes

Callers lost an RPC when any failure inside their session, one of a later message included, closed the connection. The failed session is now abandoned as at the end of a shutdown: the RPC in flight is answered as failed, waiting statements are refused, those of the read under way too; the log names the failure.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -522,9 +522,8 @@
             rejectInput("what is no message, or one of an impossible length");
         } else { // any other failure ends this session alone
             dispatcher.counters.add("client.failed");
-            dispatcher.logOnce("a client session failed: " + cause.getClass().getSimpleName());
-            closing(CloseReason.FAILED);
-            ctx.close();
+            dispatcher.logOnce("a client session failed: " + cause);
+            abandon(CloseReason.FAILED);
         }
     }
 
