Answer an RPC whose decision failed, by its deadline and 0.1 s at the latest

Callers lost an RPC when the routing engine failed while it handled it: the failure was logged, but the RPC had no timer any more; an Error ended the session or the event loop instead.

--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -40,6 +40,8 @@
 final class Dispatcher implements RoutingActions {
     private static final System.Logger LOG = System.getLogger("reedquay");
     private static final int MAX_DISTINCT_WARNINGS = 64;
+    /** How long after its deadline an RPC that the engine has not answered is answered as failed. */
+    private static final long OVERDUE_NANOS = 100_000_000;
 
     final MonotonicClock clock;
     final Limits limits;
@@ -58,6 +60,7 @@
     private final ArrayDeque<Runnable> afterBatchTasks = new ArrayDeque<>();
     private final ArrayDeque<MemberConnection> settling = new ArrayDeque<>(); // oldest response first
     private boolean inBatch;
+    private boolean batchFailed; // since the last sweep: timers that were due may not have been handled
     private boolean runningAfterBatchTasks;
     private ScheduledFuture<?> wakeUpTimer;
     private long answerDeadline = Long.MAX_VALUE;
@@ -120,7 +123,7 @@
             while (!afterBatchTasks.isEmpty()) {
                 try {
                     afterBatchTasks.pollFirst().run();
-                } catch (RuntimeException e) { // a failure of one session must not affect the others
+                } catch (Throwable e) { // a failure of one session must not affect the others
                     counters.add("broken.session");
                     logOnce("a client session failed to continue: " + e);
                 }
@@ -135,7 +138,8 @@
             engine.beginBatch(clock.now());
             input.accept(engine);
             engine.endBatch();
-        } catch (RuntimeException e) { // a failure on one RPC must not affect the others
+        } catch (Throwable e) { // a failure on one RPC must not affect the others
+            batchFailed = true;
             counters.add("broken.decision");
             logOnce("a routing decision failed: " + e + " at "
                     + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : ""));
@@ -445,6 +449,17 @@
         long now = clock.now();
         new ArrayList<>(pools.values()).forEach(
                 p -> p.sweep(now, settings.capabilities().connectTimeout(), idleTimeout));
+        abortOverdue(now);
+    }
+
+    /** Answers the RPCs that a failed decision has left without an answer, and lets the engine go on. */
+    private void abortOverdue(long now) {
+        if (batchFailed) {
+            batchFailed = false;
+            submitInput(engine -> { });
+        }
+        List.copyOf(inFlightById.values()).stream().filter(rpc -> now - rpc.deadline >= OVERDUE_NANOS)
+                .forEach(this::abortUnanswered);
     }
 
     /** The number of RPCs without a final answer. */
--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -148,9 +148,11 @@
     @Test void rpcsInFlightAndQueuedAreAnsweredAtTheEndOfAShutdown() throws Exception {
         start(configuration(), null);
         try (BlockingClient client = connect()) {
+            var stopped = gateway.stop();
+            Thread.sleep(1_000); // the deadline of an order, 3 s, is now beyond the end of the shutdown after 3.6 s
             client.send(rpc("order").writeBytes(rpc("history")).writeBytes(rpc("order")));
             awaitHeld(1);
-            gateway.stop().join();
+            stopped.join();
             assertEquals("E:58000 Z", client.readAnswer());
             assertEquals("E:57P03 Z", client.readAnswer());
             assertEquals("E:57P03 Z", client.readAnswer());
@@ -173,17 +175,23 @@
     /** Prevents the loss of an RPC on which a decision fails, which then has no timer that would end it. */
     @Test void rpcIsAnsweredWhenItsDecisionFails() throws Exception {
         start(configuration(), null);
-        engine.onArrival = arrived -> {
-            throw new NoClassDefFoundError("no descriptor left to load a class");
-        };
-        try (BlockingClient client = connect()) {
-            long sentAt = System.nanoTime();
-            client.send(rpc("history"));
-            assertEquals("E:58000 Z", client.readAnswer());
-            long lateMillis = (System.nanoTime() - sentAt) / 1_000_000 - 1200; // after the deadline of the method
-            assertTrue(lateMillis < 500, "an RPC counts as lost half a second after its deadline: " + lateMillis);
-            engine.onArrival = arrived -> engine.pushBackHeld();
-            assertEquals(1, counter("broken.decision"));
+        List<Throwable> failures = List.of(new NoClassDefFoundError("no descriptor left to load a class"),
+                new IllegalStateException("a fault of the engine"));
+        for (Throwable failure : failures) {
+            engine.onArrival = arrived -> {
+                if (failure instanceof Error error) {
+                    throw error;
+                }
+                throw (RuntimeException) failure;
+            };
+            try (BlockingClient client = connect()) {
+                long sentAt = System.nanoTime();
+                client.send(rpc("history"));
+                assertEquals("E:58000 Z", client.readAnswer());
+                long lateMillis = (System.nanoTime() - sentAt) / 1_000_000 - 1200; // after the deadline of the method
+                assertTrue(lateMillis < 500, "an RPC counts as lost half a second after its deadline: " + lateMillis);
+            }
         }
+        assertEquals(2, counter("broken.decision"));
     }
 }
