Report a failed socket() as a call-out that never ran, on the event loop

Discovery's watch had the same fault.

Connector creates, registers and connects a channel itself and reports every failure on the event loop, later than the call. A failure on this machine (socket(), no port, no buffers) is the outcome NEVER_SENT, which says nothing against the member; it is counted as member.nosocket and logged once. Class: an error path that runs before the set-up that it relies on.

--- a/src/main/java/reedquay/net/DiscoveryClient.java
+++ b/src/main/java/reedquay/net/DiscoveryClient.java
@@ -5,12 +5,10 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -41,13 +39,13 @@
     private static final int MAX_LINE_BYTES = 4 << 20;
 
     private final Dispatcher dispatcher;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final EventLoop loop;
     private final MembershipReconciler reconciler;
 
-    DiscoveryClient(Dispatcher dispatcher, Bootstrap bootstrap, EventLoop loop) {
+    DiscoveryClient(Dispatcher dispatcher, Connector connector, EventLoop loop) {
         this.dispatcher = dispatcher;
-        this.bootstrap = bootstrap;
+        this.connector = connector;
         this.loop = loop;
         reconciler = new MembershipReconciler(HEARTBEAT_NANOS, dispatcher.settings().rules().drainGrace(), this);
     }
@@ -94,15 +92,8 @@
     @Override public void openWatch(Watch watch) {
         WatchHandler handler = new WatchHandler(watch);
         watch.frontState = handler;
-        bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), handler);
-            }
-        }).connect((InetSocketAddress) watch.address).addListener(connect -> {
-            if (!connect.isSuccess()) {
-                reconcilerNow().failed(watch);
-            }
-        });
+        connector.connect((InetSocketAddress) watch.address, cause -> reconcilerNow().failed(watch),
+                new HttpClientCodec(), handler);
     }
 
     @Override public void closeWatch(Watch watch) {
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -1,6 +1,5 @@
 package reedquay.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.EventLoop;
@@ -49,7 +48,7 @@
     final LoadReportParser reports;
     private final Trace trace = new Trace();
     private final EventLoop loop;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private final Settings settings;
     private final RoutingEngine engine;
     private final Map<String, Method> methods = new HashMap<>();
@@ -67,10 +66,10 @@
     private int inFlight;
     private int outstandingProbes;
 
-    Dispatcher(EventLoop loop, Bootstrap bootstrap, MonotonicClock clock, Limits limits, Counters counters,
+    Dispatcher(EventLoop loop, Connector connector, MonotonicClock clock, Limits limits, Counters counters,
             SettingsReader reader, long seed, BiFunction<Settings, RoutingActions, RoutingEngine> engineFactory) {
         this.loop = loop;
-        this.bootstrap = bootstrap;
+        this.connector = connector;
         this.clock = clock;
         this.limits = limits;
         this.counters = counters;
@@ -228,7 +227,7 @@
     /** The pool of the member of that id, created when discovery first names it. */
     Pool pool(String id) {
         return pools.computeIfAbsent(id, memberId -> {
-            Pool pool = new Pool(this, new Member(memberId), bootstrap);
+            Pool pool = new Pool(this, new Member(memberId), connector);
             pool.member.frontState = pool;
             return pool;
         });
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -1,6 +1,5 @@
 package reedquay.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -8,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -77,13 +75,10 @@
         lastSweepAt = startedAt;
         clientIdentifier = components.clientIdentifier();
         limits = new Limits(configuration.sockets(), configuration.memoryMb());
-        int connectMillis = 60_000; // never reached: the pool's sweep applies the connect timeout
-        Bootstrap bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMillis);
-        dispatcher = new Dispatcher(loop, bootstrap, clock, limits, counters, configuration.settings(),
+        Connector connector = new Connector(loop);
+        dispatcher = new Dispatcher(loop, connector, clock, limits, counters, configuration.settings(),
                 configuration.seed(), components.engineFactory());
-        discovery = new DiscoveryClient(dispatcher, bootstrap, loop);
+        discovery = new DiscoveryClient(dispatcher, connector, loop);
         discoveryAddress = configuration.discovery();
         long keepalive = configuration.settings().keepaliveTimeout();
         idleTimeout = keepalive > 0 ? keepalive / 2 : Long.MAX_VALUE / 2;
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -250,6 +250,16 @@
         }
     }
 
+    /** The connection could not be opened; where the cause is local, nothing is known of the member. */
+    void connectFailed(Throwable cause) {
+        if (Connector.isLocalFailure(cause)) {
+            openFailure = Outcome.NEVER_SENT;
+            dispatcher.counters.add("member.nosocket");
+            dispatcher.logOnce("cannot open a connection to a member: " + cause.getMessage());
+        }
+        close();
+    }
+
     /** Closes without completing the request; the caller does that. */
     void abandon() {
         request = null;
@@ -261,7 +271,9 @@
         if (state == State.IDLE) {
             channel.writeAndFlush(Messages.terminate(channel.alloc().buffer(8)));
         }
-        channel.close();
+        if (channel != null) { // null where the socket could not be created
+            channel.close();
+        }
         handleClosed();
     }
 
--- a/src/main/java/reedquay/net/Pool.java
+++ b/src/main/java/reedquay/net/Pool.java
@@ -1,9 +1,5 @@
 package reedquay.net;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -19,7 +15,7 @@
 final class Pool {
     final Member member;
     private final Dispatcher dispatcher;
-    private final Bootstrap bootstrap;
+    private final Connector connector;
     private InetSocketAddress address;
     private long startedAt;
     private final Set<MemberConnection> connections = new LinkedHashSet<>();
@@ -27,10 +23,10 @@
     private final ArrayDeque<MemberRequest> pendingRequests = new ArrayDeque<>();
     private int openingCount;
 
-    Pool(Dispatcher dispatcher, Member member, Bootstrap bootstrap) {
+    Pool(Dispatcher dispatcher, Member member, Connector connector) {
         this.dispatcher = dispatcher;
         this.member = member;
-        this.bootstrap = bootstrap;
+        this.connector = connector;
     }
 
     /** Takes address and process start from the member list; idle connections to an earlier process are closed. */
@@ -71,16 +67,7 @@
         openingCount++;
         MemberConnection connection = new MemberConnection(dispatcher, this, dispatcher.clock.now());
         connections.add(connection);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-            @Override protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(connection.decoder, connection);
-            }
-        }).connect(address);
-        connecting.addListener(f -> {
-            if (!f.isSuccess()) {
-                connection.close();
-            }
-        });
+        connector.connect(address, connection::connectFailed, connection.decoder, connection);
         return true;
     }
 
