--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -145,6 +145,16 @@
         }
     }
 
+    /** Runs a step of a periodic task; its failure is counted and logged, and affects no other step. */
+    void runIsolated(Runnable step) {
+        try {
+            step.run();
+        } catch (Throwable e) {
+            counters.add("broken.step");
+            logOnce("a step of a periodic task failed: " + e);
+        }
+    }
+
     /** Runs the task after the current or next batch, so that the engine is notified of an answer first. */
     void runAfterBatch(Runnable task) {
         afterBatchTasks.addLast(task);
@@ -406,7 +416,7 @@
     private void releaseSettled() {
         long now = clock.now();
         while (!settling.isEmpty() && settling.peekFirst().idleSince <= now) {
-            settling.pollFirst().settlingEnded();
+            runIsolated(settling.pollFirst()::settlingEnded);
         }
         if (!settling.isEmpty()) {
             loop.schedule(this::releaseSettled, settling.peekFirst().idleSince - now, TimeUnit.NANOSECONDS);
@@ -447,7 +457,7 @@
     void sweep(long idleTimeout) {
         long now = clock.now();
         new ArrayList<>(pools.values()).forEach(
-                p -> p.sweep(now, settings.capabilities().connectTimeout(), idleTimeout));
+                p -> runIsolated(() -> p.sweep(now, settings.capabilities().connectTimeout(), idleTimeout)));
         abortOverdue(now);
     }
 
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -122,27 +122,29 @@
         return bound;
     }
 
-    /** Applies all timeouts, at intervals of sweepInterval. */
+    /** Applies all timeouts, at intervals of sweepInterval; a step that fails ends neither the others nor the next. */
     private void sweep() {
         if (stopped.isDone()) {
             return;
         }
-        long now = clock.now();
-        clock.slewTowardsWallClock(sweepInterval / 1000);
-        dispatcher.sweep(idleTimeout);
-        discovery.closeSilentWatches();
-        checkReady(now);
-        lastSweepAt = now;
+        loop.schedule(this::sweep, sweepInterval, TimeUnit.NANOSECONDS);
+        dispatcher.runIsolated(() -> {
+            lastSweepAt = clock.now();
+            clock.slewTowardsWallClock(sweepInterval / 1000);
+        });
+        dispatcher.runIsolated(() -> dispatcher.sweep(idleTimeout));
+        dispatcher.runIsolated(discovery::closeSilentWatches);
+        dispatcher.runIsolated(() -> checkReady(lastSweepAt));
         // bounded: resumed all at once, the sessions would exceed the memory again
         int sessionsToResume = limits.isMemoryFull() ? 0 : limits.remainingMessages();
         for (ClientSession session : new ArrayList<>(sessions)) {
-            session.sweep(now, dispatcher.settings().capabilities().connectTimeout());
+            dispatcher.runIsolated(
+                    () -> session.sweep(lastSweepAt, dispatcher.settings().capabilities().connectTimeout()));
             if (sessionsToResume > 0 && session.isPausedForMemory()) {
                 sessionsToResume--;
-                session.resume();
+                dispatcher.runIsolated(session::resume);
             }
         }
-        loop.schedule(this::sweep, sweepInterval, TimeUnit.NANOSECONDS);
     }
 
     private void checkReady(long now) {
