Accept again 20 ms after a failed accept()

Clients waited in the backlog for a second after one accept() that failed (EMFILE, ENFILE, ENOBUFS): Netty's acceptor pauses for that long, more than many deadlines. A handler before it pauses for 20 ms and counts client.unaccepted.

--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -102,6 +102,7 @@
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
+                    .handler(new AcceptFailureHandler(this::acceptFailed, this::updateAccepting))
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override protected void initChannel(Channel channel) {
                             ClientSession session = new ClientSession(Gateway.this, dispatcher);
@@ -346,10 +347,17 @@
         }
     }
 
+    private void acceptFailed(Throwable cause) {
+        counters.add("client.unaccepted");
+        dispatcher.logOnce("cannot accept a connection, trying again: " + cause.getMessage());
+    }
+
     /** Accepts connections only below the limit on descriptors; further ones wait in the listen backlog. */
     private void updateAccepting() {
         if (listener != null && listening) {
             listener.config().setAutoRead(limits.openClients() < limits.maxClients);
+        } else if (listener != null && stopping) {
+            listener.config().setAutoRead(true); // the backlog, until the listener closes
         }
     }
 
@@ -385,8 +393,8 @@
     private void stopAccepting() {
         listening = false;
         stopping = true;
+        updateAccepting();
         if (listener != null) {
-            listener.config().setAutoRead(true);
             loop.schedule(() -> listener.close(), sweepInterval, TimeUnit.NANOSECONDS);
         }
         loop.schedule(this::checkStopped, sweepInterval, TimeUnit.NANOSECONDS);
