Log without a free descriptor, and never fail a caller by logging

A gateway whose first log line fell into a moment without descriptors logged nothing any more, gave the client it reported on no answer, or lost its event loop: the time in the format makes the JDK read its time zone file, and the failed class stays failed. Class: code on an error path that needs a resource which the error says is gone.

--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -81,6 +81,7 @@
             return 2;
         }
         PersistentLogManager.install();
+        PersistentLogManager.installSafeHandlers();
         try {
             // validates the operators' file before anything else starts
             OperatorGateway operatorGateway = operatorFile == null ? null
--- a/src/main/java/reedquay/PersistentLogManager.java
+++ b/src/main/java/reedquay/PersistentLogManager.java
@@ -1,6 +1,7 @@
 package reedquay;
 
 import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
@@ -19,12 +20,25 @@
         System.setProperty("java.util.logging.manager", PersistentLogManager.class.getName());
     }
 
+    /** Replaces the root logger's console handlers by ones that never fail their callers. */
+    static void installSafeHandlers() {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            if (handler instanceof ConsoleHandler) {
+                root.removeHandler(handler);
+                SafeConsoleHandler safeHandler = new SafeConsoleHandler();
+                safeHandler.setLevel(handler.getLevel());
+                root.addHandler(safeHandler);
+            }
+        }
+    }
+
     /** Enables the trace log, which records the events of each RPC, and returns its logger. */
     static Logger enableTrace() {
         Logger logger = Logger.getLogger("reedquay.trace");
         logger.setLevel(Level.FINE);
         logger.setUseParentHandlers(false);
-        ConsoleHandler handler = new ConsoleHandler();
+        ConsoleHandler handler = new SafeConsoleHandler();
         handler.setLevel(Level.ALL);
         logger.addHandler(handler);
         return logger;
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -389,13 +389,22 @@
     @Override public void requestMemberList() { } // the watch on discovery is always open
 
     @Override public void log(String line) {
-        LOG.log(System.Logger.Level.INFO, line);
+        log(System.Logger.Level.INFO, line);
+    }
+
+    /** Logs a line. A failure of logging is counted, and never affects what the line reports on. */
+    private void log(System.Logger.Level level, String line) {
+        try {
+            LOG.log(level, line);
+        } catch (Throwable e) {
+            counters.add("log.failed");
+        }
     }
 
     /** Logs a warning, unless the same line or too many different ones were logged before. */
     void logOnce(String line) {
         if (loggedWarnings.size() < MAX_DISTINCT_WARNINGS && loggedWarnings.add(line)) {
-            LOG.log(System.Logger.Level.WARNING, line);
+            log(System.Logger.Level.WARNING, line);
         }
     }
 
