Run all spans on the monotonic clock; steps of the wall clock move no deadline

An RPC with 1,500 ms left was answered as failed after 38 ms when the wall clock was set an hour forward: the gateway's clock followed a wall clock more than a second ahead in one step, and every deadline, window, wait and budget with it. After a step back it was slewed after the wall clock by a thousandth, which would have made old positions look fresh.

--- a/src/main/java/reedquay/net/DiscoveryClient.java
+++ b/src/main/java/reedquay/net/DiscoveryClient.java
@@ -113,7 +113,8 @@
                 pool.updateLocation(attributes.address, entry.startedAt());
             }
             listed.add(new ListedMember(pool.member, attributes.zone, attributes.machineType, attributes.group,
-                    entry.phase(), attributes.primary, attributes.weight, entry.startedAt()));
+                    entry.phase(), attributes.primary, attributes.weight,
+                    dispatcher.localStartTime(entry.startedAt())));
         }
         dispatcher.membersListed(kind, listed);
     }
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -30,6 +30,7 @@
 import reedquay.core.SettingsReader;
 import reedquay.core.Stage;
 import reedquay.pg.Messages;
+import reedquay.time.UnixTimeEstimate;
 
 /**
  * Connects the sockets with the routing engine: passes socket events to the engine as inputs, and carries out the
@@ -47,6 +48,7 @@
     final Counters counters;
     final LoadReportParser reports;
     private final Trace trace = new Trace();
+    private final UnixTimeEstimate unixTime;
     private final EventLoop loop;
     private final Connector connector;
     private final Settings settings;
@@ -76,6 +78,7 @@
         settings = reader.readSettings(seed);
         reports = reader.loadReportParser(0); // positions are Unix time, whatever epoch the settings name
         settings.methods().forEach(m -> methods.put(m.name(), m));
+        unixTime = new UnixTimeEstimate(settings.capabilities().connectTimeout());
         engine = engineFactory.apply(settings, this);
         counters.gauge("rpc.inhand", () -> inFlight);
         counters.gauge("member.known", pools::size);
@@ -187,7 +190,8 @@
     /** Registers an RPC whose message is complete; the caller submits it to the engine. */
     Rpc acceptRpc(ClientSession session, Statement statement, ClientIdentifier identifier) {
         long now = clock.now();
-        long minPosition = statement.minPositionMillis == 0 ? 0 : reports.position(statement.minPositionMillis, false);
+        long minPosition = statement.minPositionMillis == 0 ? 0
+                : unixTime.toLocal(reports.position(statement.minPositionMillis, false));
         long tokenAge = statement.minPositionMillis == 0 ? 0 : Math.max(1, now - minPosition); // 0 means no token
         Method method = methods.get(statement.method); // its deadline limits the time that the client says it will wait
         Rpc rpc = new Rpc(statement.id, statement.group, statement.session,
@@ -250,10 +254,11 @@
             case "53300" -> Outcome.FULL;
             default -> Outcome.ERROR;
         };
-        LoadReport report = MemberConnection.parseLoadReport(this, response, request.callOut == null);
+        LoadReport report = withLocalPosition(
+                MemberConnection.parseLoadReport(this, response, request.callOut == null));
         boolean commit = outcome == Outcome.OK && request.callOut != null
                 && request.callOut.rpc.method.consistency() == Method.Consistency.WRITE;
-        long position = response.hasPosition ? reports.position(response.positionMillis, commit)
+        long position = response.hasPosition ? unixTime.toLocal(reports.position(response.positionMillis, commit))
                 : LoadReport.NO_POSITION;
         if (request.callOut == null && report == LoadReport.NONE) {
             report = new LoadReport(position, response.role, -1, -1, -1);
@@ -437,12 +442,38 @@
      * a position well ahead of the clock passes for fresh data; a position that fails is counted.
      */
     boolean isPlausiblePosition(long millis) {
-        boolean plausible = millis >= 0
-                && millis - clock.now() / 1_000_000 <= settings.capabilities().connectTimeout() / 1_000_000;
+        if (millis >= 0 && millis <= Long.MAX_VALUE / 1_000_000) {
+            observePosition(reports.position(millis, false));
+        }
+        boolean plausible = millis >= 0 && millis - (clock.now() + unixTime.shift()) / 1_000_000
+                <= settings.capabilities().connectTimeout() / 1_000_000;
         counters.add("member.position.unreadable", plausible ? 0 : 1);
         return plausible;
     }
 
+    private void observePosition(long position) {
+        if (unixTime.positionReported(position, clock.now(), clock.wallTime())) {
+            counters.add("clock.steps");
+            log("the wall clock was stepped, and the members' positions agree: Unix time is now "
+                    + unixTime.shift() / 1_000_000 + " ms ahead of that at the start");
+        }
+    }
+
+    /** The load report with its position, a Unix time, as a time of the local clock. */
+    LoadReport withLocalPosition(LoadReport report) {
+        if (report.position() == LoadReport.NO_POSITION) {
+            return report;
+        }
+        observePosition(report.position());
+        return new LoadReport(unixTime.toLocal(report.position()), report.role(), report.queueLength(),
+                report.cpuUtilization(), report.inFlight());
+    }
+
+    /** A start time from a member list, a Unix time or 0 for long ago, as a time of the local clock. */
+    long localStartTime(long startedAt) {
+        return startedAt == 0 ? 0 : unixTime.toLocal(startedAt);
+    }
+
     /** The Query message of a call-out, with the time that is left until its deadline. */
     ByteBuf buildQuery(MemberRequest request, ByteBufAllocator allocator) {
         trace.callOutSent(request.callOut);
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -129,10 +129,11 @@
             return;
         }
         loop.schedule(this::sweep, sweepInterval, TimeUnit.NANOSECONDS);
-        dispatcher.runIsolated(() -> {
-            lastSweepAt = clock.now();
-            clock.slewTowardsWallClock(sweepInterval / 1000);
-        });
+        dispatcher.runIsolated(this::runSweepSteps);
+    }
+
+    private void runSweepSteps() {
+        lastSweepAt = clock.now();
         dispatcher.runIsolated(() -> dispatcher.sweep(idleTimeout));
         dispatcher.runIsolated(discovery::closeSilentWatches);
         dispatcher.runIsolated(() -> checkReady(lastSweepAt));
