--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -31,6 +31,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import reedquay.pg.Frame;
@@ -60,6 +61,8 @@
     private long generation;
     /** URIs of all watch requests so far, in the order of arrival. */
     public final List<String> watchRequests = new CopyOnWriteArrayList<>();
+    /** Is told each complete statement when it arrives, with the member that received it; runs on the event loop. */
+    public volatile BiConsumer<Server, String> statementListener = (server, statement) -> { };
     /** Whether discovery sends neither heartbeats nor the initial list to watches, which stay open. */
     public volatile boolean discoverySilent;
 
@@ -269,6 +272,7 @@
                 return;
             }
             server.statements.add(text);
+            statementListener.accept(server, text);
             if (server.workMicros > 0) {
                 queueStatement(ctx, out, text);
                 return;
