Start no call-out for a client that left while it waited to be accepted

A session that may have waited in the backlog now handles its first messages a millisecond later, when the end has been read too, and its deadline is nearer by the time that it may have waited.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import reedquay.core.Method;
 import reedquay.core.Rpc;
 import reedquay.pg.Frame;
@@ -29,6 +30,7 @@
 
     /** How many messages of one client are handled before other clients are served. */
     private static final int MAX_MESSAGES_BEFORE_YIELD = 16;
+    private static final long DEPARTURE_CHECK_NANOS = 1_000_000; // more than one pass of the event loop
 
     final FrameDecoder decoder = FrameDecoder.forClient(Limits.MAX_MESSAGE_BYTES);
     private final Gateway gateway;
@@ -53,6 +55,10 @@
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
+    /** For how long, at most, what this client has sent so far waited to be read; 0 once its later input is read. */
+    private long backlogWait;
+    private boolean departureCheckScheduled;
+    private boolean departureChecked; // after a wait it is known that the client has not closed meanwhile
     private boolean reading; // input that has been received is being decoded, so that more messages may follow
 
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
@@ -68,6 +74,8 @@
         registered = true;
         connectedAt = dispatcher.clock.now();
         lastProgressAt = connectedAt;
+        backlogWait = gateway.maxBacklogWait();
+        departureChecked = backlogWait == 0;
         dispatcher.counters.add("client.accepted");
         gateway.sessionOpened(this);
     }
@@ -110,6 +118,10 @@
 
     /** Handles queued messages until an RPC is in flight, the client stops reading, or others are to be served. */
     private void processQueue() {
+        if (!departureChecked) {
+            checkDeparture();
+            return;
+        }
         while (!queued.isEmpty() && state != State.IN_FLIGHT && state != State.AWAITING_READINESS
                 && (channel.isWritable() || abandonReason != null || state == State.CLOSING)) {
             // hundreds of commands at once must not delay other clients
@@ -144,6 +156,21 @@
         gateway.setIdle(this, state == State.IDLE && queued.isEmpty());
     }
 
+    /**
+     * Waits until the end of the input would have been read too. Prevents call-outs for a client that has left, which
+     * happen when its connection waited to be accepted until after its end: the statement is read first, the end later.
+     */
+    private void checkDeparture() {
+        if (!queued.isEmpty() && !departureCheckScheduled) {
+            departureCheckScheduled = true;
+            channel.eventLoop().schedule(() -> {
+                departureChecked = true;
+                resume();
+                backlogWait = 0;
+            }, DEPARTURE_CHECK_NANOS, TimeUnit.NANOSECONDS);
+        }
+    }
+
     private void resumeAfterYield() {
         resumeScheduled = false;
         messagesSinceYield = 0;
@@ -333,7 +360,7 @@
         dispatcher.limits.addHeldBytes(Limits.memoryCost(frame));
         statement = parsed;
         state = State.IN_FLIGHT;
-        rpc = dispatcher.acceptRpc(this, statement, gateway.clientIdentifier());
+        rpc = dispatcher.acceptRpc(this, statement, backlogWait, gateway.clientIdentifier());
         Rpc started = rpc;
         dispatcher.submitInput(engine -> engine.rpcArrived(started));
     }
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -187,15 +187,18 @@
         }
     }
 
-    /** Registers an RPC whose message is complete; the caller submits it to the engine. */
-    Rpc acceptRpc(ClientSession session, Statement statement, ClientIdentifier identifier) {
+    /**
+     * Registers an RPC whose message is complete; the caller submits it to the engine. waited: how long the message may
+     * have waited to be read, by which its client's deadline is nearer.
+     */
+    Rpc acceptRpc(ClientSession session, Statement statement, long waited, ClientIdentifier identifier) {
         long now = clock.now();
         long minPosition = statement.minPositionMillis == 0 ? 0
                 : unixTime.toLocal(reports.position(statement.minPositionMillis, false));
         long tokenAge = statement.minPositionMillis == 0 ? 0 : Math.max(1, now - minPosition); // 0 means no token
         Method method = methods.get(statement.method); // its deadline limits the time that the client says it will wait
         Rpc rpc = new Rpc(statement.id, statement.group, statement.session,
-                Math.min(now + Math.min(statement.waitMillis * 1_000_000, method.deadline()), answerDeadline),
+                Math.min(now + Math.min(statement.waitMillis * 1_000_000, method.deadline()) - waited, answerDeadline),
                 statement.retry, tokenAge, statement.tenant, method);
         rpc.frontState = session;
         rpc.clientId = identifier == null ? null : identifier.identify(session, statement);
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -30,6 +30,7 @@
  */
 public final class Gateway {
     private static final int BACKLOG = 1024;
+    private static final long NOT_PAUSED = Long.MIN_VALUE;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
@@ -56,6 +57,7 @@
     private boolean terminating;
     private boolean listening;
     private Channel listener;
+    private long acceptPausedAt = NOT_PAUSED; // since then connections may have waited to be accepted
     private InetSocketAddress discoveryAddress; // from the last configuration read
 
     /** A gateway with the standard components. Throws IllegalArgumentException where the settings are invalid. */
@@ -102,7 +104,7 @@
                     .option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true)
-                    .handler(new AcceptFailureHandler(this::acceptFailed, this::updateAccepting))
+                    .handler(new AcceptHandler(new AcceptListener()))
                     .childHandler(new ChannelInitializer<Channel>() {
                         @Override protected void initChannel(Channel channel) {
                             ClientSession session = new ClientSession(Gateway.this, dispatcher);
@@ -348,15 +350,40 @@
         }
     }
 
-    private void acceptFailed(Throwable cause) {
-        counters.add("client.unaccepted");
-        dispatcher.logOnce("cannot accept a connection, trying again: " + cause.getMessage());
+    /** Follows the listener's events; an object of its own, so that they are no part of the public interface. */
+    private final class AcceptListener implements AcceptHandler.Listener {
+        @Override public void acceptFailed(Throwable cause) {
+            pauseBegan();
+            counters.add("client.unaccepted");
+            dispatcher.logOnce("cannot accept a connection, trying again: " + cause.getMessage());
+        }
+
+        @Override public void resumeAccepting() {
+            updateAccepting();
+        }
+
+        @Override public void backlogEmptied() {
+            acceptPausedAt = NOT_PAUSED;
+        }
+    }
+
+    private void pauseBegan() {
+        acceptPausedAt = acceptPausedAt == NOT_PAUSED ? clock.now() : acceptPausedAt;
+    }
+
+    /** For how long a connection that is accepted now may have waited for it, in nanoseconds. */
+    long maxBacklogWait() {
+        return acceptPausedAt == NOT_PAUSED ? 0 : clock.now() - acceptPausedAt;
     }
 
     /** Accepts connections only below the limit on descriptors; further ones wait in the listen backlog. */
     private void updateAccepting() {
         if (listener != null && listening) {
-            listener.config().setAutoRead(limits.openClients() < limits.maxClients);
+            boolean accepting = limits.openClients() < limits.maxClients;
+            listener.config().setAutoRead(accepting);
+            if (!accepting) {
+                pauseBegan();
+            }
         } else if (listener != null && stopping) {
             listener.config().setAutoRead(true); // the backlog, until the listener closes
         }
--- a/src/test/java/reedquay/net/SystemCallFailureTest.java
+++ b/src/test/java/reedquay/net/SystemCallFailureTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import reedquay.pg.Messages;
 
 /**
  * Tests a gateway in a process of its own while its system calls fail: its limit on open files is lowered at run time
@@ -137,6 +138,27 @@
         }
     }
 
+    /** Prevents call-outs for a client that left while its connection waited for an accept() that failed. */
+    @Test void clientThatLeftBeforeItsAcceptGetsNoCallOut() throws Exception {
+        try (BlockingClient client = new BlockingClient(address).startup()) {
+            assertEquals("I Z", client.ask(""));
+            assertEquals("T D: C Z", read(client));
+            allowNoNewDescriptor();
+            try (BlockingClient leaving = new BlockingClient(address)) {
+                leaving.send(Messages.query(Messages.startupMessage(Unpooled.buffer(), "portal", "crm"),
+                        "/* id=1eaf,c=history,t=acme,d=1200,cluster=1 */ SELECT data FROM facts WHERE code = 'k'"));
+            }
+            Thread.sleep(300);
+            setOpenFilesLimit(NORMAL_LIMIT);
+            Thread.sleep(300);
+            assertEquals("T D: C Z", read(client));
+            for (String name : new String[] {"one", "two", "three"}) {
+                assertTrue(standIn.server(name).statements.stream().noneMatch(text -> text.contains("id=1eaf")));
+            }
+            assertStopsInOrder();
+        }
+    }
+
     /**
      * Prevents the loss of all log lines, or the end of the event loop, which happens when the first line is logged
      * while no descriptor is left to open a file that its format needs.
