Try again to bind the listener for 2 s before a start fails

The listener is bound again every 50 ms for 2 s; an address that stays taken ends the start as before, 2 s later. The test failed before and passes.

--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -30,6 +31,8 @@
  */
 public final class Gateway {
     private static final int BACKLOG = 1024;
+    private static final long BIND_TIMEOUT_NANOS = 2_000_000_000;
+    private static final long BIND_RETRY_NANOS = 50_000_000;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -100,31 +103,44 @@
             }
             discovery.moveTo(configuration.discovery());
             sweep();
-            new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                    .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true)
-                    .handler(new AcceptHandler(new AcceptListener()))
-                    .childHandler(new ChannelInitializer<Channel>() {
-                        @Override protected void initChannel(Channel channel) {
-                            ClientSession session = new ClientSession(Gateway.this, dispatcher);
-                            channel.pipeline().addLast(session.decoder, session);
-                        }
-                    })
-                    .bind(configuration.listen()).addListener((io.netty.channel.ChannelFuture binding) -> {
-                        if (binding.isSuccess()) {
-                            listener = binding.channel();
-                            listening = true;
-                            bound.complete((InetSocketAddress) listener.localAddress());
-                        } else {
-                            bound.completeExceptionally(binding.cause());
-                            terminate();
-                        }
-                    });
+            bind(bound, clock.now() + BIND_TIMEOUT_NANOS);
         });
         return bound;
     }
 
+    /** Binds the listener, and tries again until the given time, since a socket or the address may be free soon. */
+    private void bind(CompletableFuture<InetSocketAddress> bound, long giveUpAt) {
+        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .handler(new AcceptHandler(new AcceptListener()))
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override protected void initChannel(Channel channel) {
+                        ClientSession session = new ClientSession(Gateway.this, dispatcher);
+                        channel.pipeline().addLast(session.decoder, session);
+                    }
+                })
+                .bind(configuration.listen())
+                // a failed socket() is reported on another thread
+                .addListener((ChannelFuture binding) -> loop.execute(() -> bindEnded(binding, bound, giveUpAt)));
+    }
+
+    private void bindEnded(ChannelFuture binding, CompletableFuture<InetSocketAddress> bound, long giveUpAt) {
+        if (binding.isSuccess()) {
+            listener = binding.channel();
+            listening = !stopping;
+            updateAccepting();
+            bound.complete((InetSocketAddress) listener.localAddress());
+        } else if (!terminating && !stopping && clock.now() < giveUpAt) {
+            counters.add("listen.retries");
+            loop.schedule(() -> bind(bound, giveUpAt), BIND_RETRY_NANOS, TimeUnit.NANOSECONDS);
+        } else {
+            bound.completeExceptionally(binding.cause());
+            terminate();
+        }
+    }
+
     /** Applies all timeouts, at intervals of sweepInterval; a step that fails ends neither the others nor the next. */
     private void sweep() {
         if (stopped.isDone()) {
--- a/src/test/java/reedquay/net/SweepFailureTest.java
+++ b/src/test/java/reedquay/net/StepFailureTest.java
@@ -4,15 +4,17 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Tests a gateway in which a step of the sweep fails. */
+/** Tests a gateway in which a step of the start or the sweep fails. */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class SweepFailureTest {
+class StepFailureTest {
     /** Prevents the end of all timeouts, which happens when one step of one sweep fails and no sweep follows. */
     @Test void failedStepEndsNoSweep() throws Exception {
         JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
@@ -33,4 +35,21 @@
             gateway.halt();
         }
     }
+
+    /** Prevents a failed start, which happens when the address or a socket is not free at the first attempt. */
+    @Test void startWaitsForItsAddress() throws Exception {
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        config.addProperty("discovery", "127.0.0.1:9");
+        Gateway gateway;
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            config.addProperty("listen", "127.0.0.1:" + taken.getLocalPort());
+            gateway = new Gateway(Configuration.parse(config.toString()));
+            var started = gateway.start();
+            Thread.sleep(300);
+            assertFalse(started.isDone());
+            taken.close();
+            assertEquals(taken.getLocalPort(), started.join().getPort());
+        }
+        gateway.halt();
+    }
 }
