--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -194,4 +194,26 @@
         }
         assertEquals(2, counter("broken.decision"));
     }
+
+    /** Prevents call-outs for a client that left while its input was not read, since it had sent too much at once. */
+    @Test void clientThatLeftWhileItsReadingWasPausedGetsNoCallOut() throws Exception {
+        JsonObject config = configuration();
+        config.getAsJsonObject("limits").addProperty("memory_mb", 8);
+        start(config, null);
+        BlockingClient client = connect();
+        ByteBuf messages = Unpooled.buffer();
+        for (int i = 0; i < 600; i++) { // more than may be queued for one client
+            messages.writeBytes(rpc("history"));
+        }
+        client.send(messages);
+        awaitHeld(1);
+        client.close();
+        Thread.sleep(200);
+        engine.onArrival = arrived -> engine.pushBackHeld();
+        try (BlockingClient other = connect()) {
+            other.send(rpc("history")); // in its batch the first RPC is answered, and the next one would start
+            Thread.sleep(200);
+            assertEquals(2, counter("rpc.taken"), "one RPC of each client");
+        }
+    }
 }
