--- a/lab/src/main/java/reedquay/lab/soak/GatewayProcess.java
+++ b/lab/src/main/java/reedquay/lab/soak/GatewayProcess.java
@@ -13,7 +13,7 @@
 
 /** A gateway in a process of its own, started with the flags of deploy/balancer.toml. */
 final class GatewayProcess {
-    private static final Pattern LISTENING = Pattern.compile("listening on .*:(\\d+)");
+    private static final Pattern LISTENING = Pattern.compile("listening on /?([0-9.]+):(\\d+)");
     private static final Pattern COUNTER = Pattern.compile("([a-z][a-zA-Z0-9. ]*)=(-?\\d+)");
     private static final int START_TIMEOUT_SECONDS = 30;
     private static final List<String> FLAGS = List.of("-Xlog:disable", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
@@ -52,7 +52,7 @@
                 }
                 Matcher matcher = LISTENING.matcher(line);
                 if (matcher.matches()) {
-                    address = new InetSocketAddress("127.0.0.1", Integer.parseInt(matcher.group(1)));
+                    address = new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2)));
                     listening.countDown();
                 }
             }
--- a/lab/src/main/java/reedquay/lab/soak/SoakRun.java
+++ b/lab/src/main/java/reedquay/lab/soak/SoakRun.java
@@ -18,6 +18,7 @@
 final class SoakRun {
     private static final int KILL_AFTER_DEADLINE_MILLIS = 700;
     private static final int MAX_COUNTED_DEADLINE_MILLIS = 3_000;
+    private static final int GATEWAY_PORT = 6_543;
     private static final int NORMAL_OPEN_FILES = 1_024;
     private static final int MAX_ONE_IN = 8;
     /** How long after the last request all answers are in. */
@@ -50,9 +51,8 @@
     }
 
     Result run(Path configTemplate) throws IOException, InterruptedException {
-        Path config = writeConfig(configTemplate, 0);
+        Path config = writeConfig(configTemplate);
         gateway = new GatewayProcess(jar, config, faults);
-        writeConfig(configTemplate, gateway.address().getPort()); // restarts use the same address
         SoakClients clients = new SoakClients(plan, arrivals);
         List<SoakRequest> requests;
         try {
@@ -77,13 +77,21 @@
                 gatewayOutput.toString());
     }
 
+    /**
+     * An address and port that no parallel run uses, nor any socket with a port that the system chooses: while the
+     * gateway restarts, its clients would else reach whatever has taken its port.
+     */
+    private String listenAddress() {
+        return "127.77." + plan.seed() / 200 % 200 + "." + (1 + plan.seed() % 200) + ":" + GATEWAY_PORT;
+    }
+
     private static long count(List<SoakRequest> requests, SoakRequest.End end) {
         return requests.stream().filter(r -> r.end == end).count();
     }
 
-    private Path writeConfig(Path template, int port) throws IOException {
+    private Path writeConfig(Path template) throws IOException {
         JsonObject config = JsonParser.parseString(Files.readString(template)).getAsJsonObject();
-        config.addProperty("listen", "127.0.0.1:" + port);
+        config.addProperty("listen", listenAddress());
         config.addProperty("discovery", "127.0.0.1:" + standIn.discoveryAddress().getPort());
         config.getAsJsonObject("limits").addProperty("sockets", plan.sockets());
         for (JsonElement element : config.getAsJsonObject("settings").getAsJsonArray("Grades")) {
