Push back an RPC past its deadline at its arrival; forget a pause nobody waited in

Found by reading the change of the accept handling again, each with a test that fails without its line: a write that had waited in the backlog beyond its deadline was still sent, with a millisecond told to the member; and a pause of accepting in which no connection waited stayed on record, so that the next new client's first RPC lost the time since. The end of a shutdown also answers what waits for the look at its client's departure.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -461,6 +461,7 @@
             state = State.IDLE;
             write(refusal());
         }
+        departureChecked = true;
         messagesSinceYield = Integer.MIN_VALUE; // there is no later turn
         processQueue();
         closeIfAbandoned();
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -61,6 +61,7 @@
     private boolean listening;
     private Channel listener;
     private long acceptPausedAt = NOT_PAUSED; // since then connections may have waited to be accepted
+    private int sweepsSinceResume; // of accepting, after the pause
     private InetSocketAddress discoveryAddress; // from the last configuration read
 
     /** A gateway with the standard components. Throws IllegalArgumentException where the settings are invalid. */
@@ -155,6 +156,7 @@
         dispatcher.runIsolated(() -> dispatcher.sweep(idleTimeout));
         dispatcher.runIsolated(discovery::closeSilentWatches);
         dispatcher.runIsolated(() -> checkReady(lastSweepAt));
+        dispatcher.runIsolated(this::forgetOldPause);
         // bounded: resumed all at once, the sessions would exceed the memory again
         int sessionsToResume = limits.isMemoryFull() ? 0 : limits.remainingMessages();
         for (ClientSession session : new ArrayList<>(sessions)) {
@@ -387,6 +389,13 @@
         acceptPausedAt = acceptPausedAt == NOT_PAUSED ? clock.now() : acceptPausedAt;
     }
 
+    /** Ends the account of a pause after which no connection was in the backlog, so that none was accepted. */
+    private void forgetOldPause() {
+        if (acceptPausedAt != NOT_PAUSED && listener.config().isAutoRead() && ++sweepsSinceResume >= 2) {
+            acceptPausedAt = NOT_PAUSED; // a whole interval between sweeps has passed
+        }
+    }
+
     /** For how long a connection that is accepted now may have waited for it, in nanoseconds. */
     long maxBacklogWait() {
         return acceptPausedAt == NOT_PAUSED ? 0 : clock.now() - acceptPausedAt;
@@ -396,10 +405,12 @@
     private void updateAccepting() {
         if (listener != null && listening) {
             boolean accepting = limits.openClients() < limits.maxClients;
-            listener.config().setAutoRead(accepting);
             if (!accepting) {
                 pauseBegan();
+            } else if (!listener.config().isAutoRead()) {
+                sweepsSinceResume = 0;
             }
+            listener.config().setAutoRead(accepting);
         } else if (listener != null && stopping) {
             listener.config().setAutoRead(true); // the backlog, until the listener closes
         }
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -33,6 +33,7 @@
     private static final BiPredicate<Router, PendingRpc> ALWAYS = (r, p) -> true;
     private static final BiPredicate<Router, PendingRpc> UNKNOWN_GROUP_OR_METHOD =
             (r, p) -> p.group == null || p.rpc.method == null;
+    private static final BiPredicate<Router, PendingRpc> IS_PAST_ITS_DEADLINE = (r, p) -> p.rpc.deadline <= r.now;
     private static final BiPredicate<Router, PendingRpc> CAN_RETRY_NOW = (r, p) -> r.mayRetry(p) && r.findTarget(p);
     private static final BiPredicate<Router, PendingRpc> HAS_CALL_OUTS_IN_FLIGHT = (r, p) -> p.callOutsInFlight > 0;
     private static final BiConsumer<Router, PendingRpc> NO_ACTION = (r, p) -> { };
@@ -42,6 +43,7 @@
     /** The state machine of an RPC: the first transition whose state, event and condition match is taken. */
     private static final Transition[] TRANSITIONS = {
         new Transition(State.NEW, Event.ARRIVED, UNKNOWN_GROUP_OR_METHOD, State.ENDED, Router::pushBackOrAbort),
+        new Transition(State.NEW, Event.ARRIVED, IS_PAST_ITS_DEADLINE, State.ENDED, Router::pushBackOrAbort),
         new Transition(State.NEW, Event.ARRIVED, Router::shouldShed, State.ENDED, Router::pushBackOrAbort),
         new Transition(State.NEW, Event.ARRIVED, Router::findTarget, State.IN_FLIGHT, Router::send),
         new Transition(State.NEW, Event.ARRIVED, ALWAYS, State.HELD, Router::hold),
--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -216,4 +216,28 @@
             assertEquals(2, counter("rpc.taken"), "one RPC of each client");
         }
     }
+
+    /** Prevents a needless pushback, which happens when a pause of accepting counts although nobody waited for it. */
+    @Test void deadlineOfANewClientIsWholeAfterAnOldPause() throws Exception {
+        start(configuration(), null);
+        List<BlockingClient> clients = new ArrayList<>();
+        while (clients.size() < new Limits(SOCKETS, 192).maxClients) { // accepting is paused at this number
+            clients.add(connect());
+            clients.get(clients.size() - 1).send(rpc("order"));
+        }
+        awaitHeld(clients.size());
+        for (BlockingClient client : clients) {
+            client.close();
+        }
+        awaitHeld(0);
+        Thread.sleep(1_500); // longer than the method's deadline
+        try (BlockingClient client = connect()) {
+            client.send(rpc("history"));
+            awaitHeld(1);
+            long[] deadline = new long[1];
+            gateway.runOnEventLoop(() -> deadline[0] = engine.held.get(0).deadline).join();
+            long leftMillis = deadline[0] / 1_000_000 - System.currentTimeMillis();
+            assertTrue(leftMillis > 900, "the method's deadline is 1,200 ms, left are " + leftMillis);
+        }
+    }
 }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -37,6 +37,13 @@
         assertTrue(front.pushedBack.contains(rpc) && rpc.callOuts.isEmpty());
     }
 
+    /** Prevents a call-out for an RPC whose client gives up before it arrives, since it waited to be read. */
+    @Test void rpcPastItsDeadlineAtItsArrivalIsPushedBack() {
+        Rpc rpc = new Rpc(999, 1, null, front.now, false, 0, "small", TestFront.NON_IDEMPOTENT);
+        front.runBatch(() -> front.router.rpcArrived(rpc));
+        assertTrue(front.pushedBack.contains(rpc) && rpc.callOuts.isEmpty());
+    }
+
     @Test void primaryServesReadsWhenNoReplicaIsLeft() {
         front.runBatch(() -> front.listMembers(ListedMember.ListKind.FULL, front.up("p", true)));
         assertEquals("p", front.lastCallOut(front.arrive(ANY, 0)).member.id);
