--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -343,15 +343,21 @@
                 int rowStart = answerStart + descriptionLength;
                 int completionStart = rowStart + 1 + out.getInt(rowStart + 1);
                 switch (server.fault) {
-                    case "norow" -> out
-                            .setBytes(rowStart, out.copy(completionStart, out.writerIndex() - completionStart))
-                            .writerIndex(out.writerIndex() - (completionStart - rowStart));
-                    case "tworows" -> out.writerIndex(completionStart)
-                            .writeBytes(out.copy(rowStart, completionStart - rowStart));
+                    case "norow" -> {
+                        ByteBuf completion = out.copy(completionStart, out.writerIndex() - completionStart);
+                        out.writerIndex(rowStart).writeBytes(completion);
+                        completion.release();
+                    }
+                    case "tworows" -> {
+                        ByteBuf row = out.copy(rowStart, completionStart - rowStart);
+                        out.writerIndex(completionStart).writeBytes(row);
+                        row.release();
+                    }
                     case "backwards" -> {
                         ByteBuf original = out.copy(answerStart, out.writerIndex() - answerStart);
                         out.writerIndex(answerStart).writeBytes(original, descriptionLength, completionStart - rowStart)
                                 .writeBytes(original, 0, descriptionLength);
+                        original.release();
                     }
                     case "misfit" -> out.setInt(rowStart + 7, out.getInt(rowStart + 7) + 1);
                     case "huge" -> out.setInt(rowStart + 1, Integer.MAX_VALUE - 9);
