--- a/lab/src/main/java/reedquay/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/reedquay/lab/soak/SoakPlan.java
@@ -44,8 +44,6 @@
         }
     }
 
-    /** How long a system call may fail every time; longer, a client in the backlog cannot be answered in time. */
-    private static final int MAX_OUTAGE_MILLIS = 300;
     private static final List<String> MEMBERS = List.of("one", "two", "three");
     private static final List<String> MEMBER_FAULTS = List.of("silent", "silent", "reset", "half", "garbage", "53300",
             "72000", "XX000", "crowded", "mute", "twice");
@@ -88,7 +86,7 @@
             case MEMBER_DRAIN -> new Event(atMillis, kind, MEMBERS.get(1 + random.nextInt(2)), "", duration + 500);
             case WATCHES_CLOSED -> new Event(atMillis, kind, "", "", 0);
             case RELOADS, RESTART -> new Event(atMillis, Kind.RELOADS, "", "", duration / 4);
-            case OPEN_FILES -> new Event(atMillis, kind, "", "", duration * MAX_OUTAGE_MILLIS / 2_000);
+            case OPEN_FILES -> new Event(atMillis, kind, "", "", duration / 2);
             case CALL_FAILURE -> drawCallFailure(random, atMillis, duration);
             case CLOCK_STEP -> new Event(atMillis, kind, "", pick(random, CLOCK_STEPS), duration);
         };
--- a/lab/src/main/java/reedquay/lab/soak/SoakRun.java
+++ b/lab/src/main/java/reedquay/lab/soak/SoakRun.java
@@ -20,7 +20,7 @@
     private static final int MAX_COUNTED_DEADLINE_MILLIS = 3_000;
     private static final int GATEWAY_PORT = 6_543;
     private static final int NORMAL_OPEN_FILES = 1_024;
-    private static final int MAX_ONE_IN = 8;
+    private static final int MAX_ONE_IN = 3;
     /** How long after the last request all answers are in. */
     private static final int SETTLE_MILLIS = 300;
 
@@ -175,7 +175,7 @@
             }
             case CALL_FAILURE -> {
                 FaultLibrary.Call call = FaultLibrary.Call.valueOf(event.target());
-                int oneIn = 2 + event.atMillis() % MAX_ONE_IN;
+                int oneIn = 1 + event.atMillis() % MAX_ONE_IN;
                 faults.fail(call, Integer.parseInt(event.what()), oneIn);
                 after(event.durationMillis(), () -> faults.fail(call, 0, 1));
             }
