--- /dev/null
+++ b/review/entry/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../case.sh" "$(dirname "$0")" LeftClient
