--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -28,7 +28,7 @@
  * the gateway with the run line of deploy/balancer.toml. Plain JDK, blocking sockets, loopback addresses only.
  */
 final class Kit implements AutoCloseable {
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    static final boolean TROUBLE = !"0".equals(System.getProperty("review.trouble"));
     static final Pattern ID = Pattern.compile("[/* ,]id=([0-9a-f]+)");
     static final Pattern QUOTED = Pattern.compile("'([^']*)'");
 
