--- a/review/case.sh
+++ b/review/case.sh
@@ -1,4 +1,5 @@
-# Runs one case: case.sh FOLDER CLASS TROUBLE, 0 for none. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Runs one case: case.sh FOLDER CLASS TROUBLE, 0 for none.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$1" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 if [ ! -f "$root/target/reedquay.jar" ] || [ ! -f "$root/review/build/$2.class" ]; then
