--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -170,6 +170,8 @@
         private final Set<Channel> openChannels = new LinkedHashSet<>();
         private Channel listener;
         private int port;
+        private Channel lastAnswered; // the connection that carried the last answer
+        private ByteBuf lastAnswer = Unpooled.EMPTY_BUFFER;
 
         Server(String name, boolean primary) {
             this.name = name;
@@ -209,6 +211,11 @@
             runOnEventLoop(() -> new ArrayList<>(openChannels).forEach(Channel::close));
         }
 
+        /** Sends the last answer a second time, on the connection that carried it. */
+        public void repeatLastAnswer() {
+            runOnEventLoop(() -> lastAnswered.writeAndFlush(lastAnswer.retainedDuplicate()));
+        }
+
         /** Returns the replay position, in milliseconds since the epoch. */
         private long position() {
             long now = System.currentTimeMillis();
@@ -370,12 +377,13 @@
                     return;
                 }
                 Messages.readyForQuery(writePositionAndRole(out, server.fault.equals("future") ? 1L << 60 : position));
-                ByteBuf answer = out.copy();
+                server.lastAnswer = Unpooled.copiedBuffer(out);
+                server.lastAnswered = ctx.channel();
                 ctx.write(out);
                 if (server.fault.equals("twice") || server.fault.equals("noise")) {
-                    ctx.writeAndFlush(server.fault.equals("twice") ? answer.retain() : Unpooled.copyShort('D', 'x'));
+                    ctx.writeAndFlush(server.fault.equals("twice") ? server.lastAnswer.retainedDuplicate()
+                            : Unpooled.copyShort('D', 'x'));
                 }
-                answer.release();
             }
         }
 
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -164,6 +164,8 @@
         if (!queued.isEmpty() && !departureCheckScheduled) {
             departureCheckScheduled = true;
             channel.eventLoop().schedule(() -> {
+                SocketInput.readNow(channel); // the end may stand behind more input, and neither be read yet
+                SocketInput.readNow(channel);
                 departureChecked = true;
                 resume();
                 backlogWait = 0;
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -433,7 +433,7 @@
     private void releaseSettled() {
         long now = clock.now();
         while (!settling.isEmpty() && settling.peekFirst().idleSince <= now) {
-            runIsolated(settling.pollFirst()::settlingEnded);
+            runIsolated(settling.pollFirst()::settlingElapsed);
         }
         if (!settling.isEmpty()) {
             loop.schedule(this::releaseSettled, settling.peekFirst().idleSince - now, TimeUnit.NANOSECONDS);
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -55,6 +55,7 @@
     private Response response = new Response();
     private boolean written;
     private boolean malformed;
+    private boolean readingAtSettlingEnd; // what is read now was unread when the settling ended
     private boolean carriedRequest, reused; // reused: it carried a request before the current one
     private Outcome openFailure = Outcome.NO_CONNECTION; // outcome of the waiting request if this never opens
 
@@ -190,11 +191,22 @@
     }
 
     /**
-     * Makes the connection idle again, if nothing followed the last response. Prevents the answer to one statement from
-     * being served for the next, which happens when a member sends a second copy of a response: data that arrives
-     * while the connection settles closes it.
+     * Ends the settling after a response. Prevents the answer to one statement from being served for the next, which
+     * happens when a member sends a second copy of a response: data that arrives while the connection settles closes
+     * it. The socket is read here, since time that has passed proves nothing of what the event loop has not read yet.
      */
-    void settlingEnded() {
+    void settlingElapsed() {
+        if (state != State.SETTLING) {
+            return;
+        }
+        readingAtSettlingEnd = true;
+        SocketInput.readNow(channel);
+        readingAtSettlingEnd = false;
+        settlingEnded();
+    }
+
+    /** Makes the connection idle, unless it has closed or holds data after the end of a response. */
+    private void settlingEnded() {
         if (state == State.CLOSED || !channel.isActive()) {
             return;
         }
@@ -214,6 +226,7 @@
 
     private void protocolViolation(String violation) {
         dispatcher.counters.add("member.breach");
+        dispatcher.counters.add("member.breach.unread", readingAtSettlingEnd ? 1 : 0);
         dispatcher.logOnce("a member violated the protocol: " + violation);
         malformed = state == State.BUSY; // the statement ran; nothing of its response is passed on or trusted
         channel.close();
--- /dev/null
+++ b/src/test/java/reedquay/net/UnreadInputTest.java
@@ -0,0 +1,172 @@
+package reedquay.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import example.StandIn;
+import io.netty.buffer.Unpooled;
+import io.netty.util.internal.ThreadExecutorMap;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reedquay.pg.Messages;
+import reedquay.route.Router;
+
+/**
+ * Tests timers that run before the event loop has read what arrived in the meantime, as they do when the process was
+ * held up during a wait. Each test makes the event loop run such a timer right after the input has arrived.
+ */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class UnreadInputTest {
+    private static final long TICK_MILLIS = 80;
+
+    private final StandIn standIn = new StandIn(0, 200, "one");
+    private Gateway gateway;
+    private InetSocketAddress address;
+
+    private JsonObject configuration() throws IOException {
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:" + standIn.discoveryAddress().getPort());
+        config.getAsJsonObject("settings").addProperty("Tick", (double) TICK_MILLIS);
+        return config;
+    }
+
+    private void start(JsonObject config, GatewayComponents components, MonotonicClock clock) {
+        gateway = new Gateway(Configuration.parse(config.toString()), components, clock);
+        address = gateway.start().join();
+    }
+
+    @AfterEach void stop() {
+        gateway.stop().join();
+        standIn.close();
+    }
+
+    /**
+     * Called on the event loop: runs the task in place of a timer, followed by all timers that are due within the given
+     * time; no socket is read in between.
+     */
+    private static void runBeforeTimersDueWithin(long millis, Task task) {
+        startTimer(() -> {
+            try {
+                task.run();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        sleep(millis); // the due timers are taken together, before the first of them runs
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    /** Called on the event loop: starts a timer that is due at once. */
+    private static void startTimer(Runnable task) {
+        ThreadExecutorMap.currentExecutor().schedule(task, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void awaitCounter(String name, long value) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (gateway.counters().join().getOrDefault(name, 0L) != value) {
+            assertTrue(System.nanoTime() < end, name + " did not reach " + value);
+            sleep(1);
+        }
+    }
+
+    private static String write(int id, String value) {
+        return "/* id=" + id + ",c=order,t=acme,d=3000,k=" + id + ",cluster=1 */ INSERT INTO facts (code, data) VALUES"
+                + " ('a', '" + value + "') RETURNING data";
+    }
+
+    /**
+     * Prevents serving the value of another client's statement, which happens when a second copy of an answer is still
+     * unread at the end of the settling, and the connection carries the next statement at once.
+     */
+    @Test void secondCopyThatIsUnreadWhenTheSettlingEndsIsNotServed() throws Exception {
+        start(configuration(), new GatewayComponents(Router::new, null), new MonotonicClock());
+        StandIn.Server server = standIn.server("one");
+        try (BlockingClient first = new BlockingClient(address).startup();
+                BlockingClient second = new BlockingClient(address).startup()) {
+            assertEquals("I Z", first.ask(""));
+            assertEquals("T D:v1 C Z", first.ask(write(1, "v1")));
+            server.fault = "mute"; // no further connection comes up: the next statement waits for the one that settles
+            second.send(Messages.query(Unpooled.buffer(), write(2, "v2")));
+            awaitCounter("callout", 2);
+            gateway.runOnEventLoop(() -> runBeforeTimersDueWithin(TICK_MILLIS + 10, () -> {
+                server.repeatLastAnswer();
+                sleep(20);
+            }));
+            awaitCounter("member.breach", 1);
+            server.fault = "";
+            String answer = second.readAnswer();
+            assertFalse(answer.contains("v1"), "served the value of the first client's statement: " + answer);
+            assertEquals(1, gateway.counters().join().get("member.breach.unread"));
+        }
+    }
+
+    /**
+     * Prevents an RPC for a client that has left, which happens when the client's connection waited to be accepted and
+     * its end is still unread when that is checked.
+     */
+    @Test void clientWhoseEndIsUnreadAfterItWaitedToBeAcceptedGetsNoRpc() throws Exception {
+        JsonObject config = configuration();
+        config.getAsJsonObject("limits").addProperty("sockets", 80);
+        AcceptHook clock = new AcceptHook();
+        start(config, new GatewayComponents((settings, actions) -> new ScriptedEngine(actions), null), clock);
+        List<BlockingClient> clients = new ArrayList<>();
+        while (clients.size() < new Limits(80, 192).maxClients) {
+            clients.add(new BlockingClient(address).startup());
+            clients.get(clients.size() - 1).send(Messages.query(Unpooled.buffer(), write(clients.size(), "v")));
+        }
+        awaitCounter("rpc.taken", clients.size());
+        BlockingClient waiting = new BlockingClient(address);
+        waiting.send(Messages.startupMessage(Unpooled.buffer(), "portal", "crm"));
+        waiting.send(Messages.query(Unpooled.buffer(), write(100, "v")));
+        sleep(50);
+        Runnable leave = () -> runBeforeTimersDueWithin(5, () -> {
+            waiting.close();
+            sleep(20);
+        });
+        // a timer that a timer starts runs after the next poll of the sockets, in which the statement is read
+        clock.onNextAccept = () -> startTimer(() -> startTimer(leave));
+        clients.remove(0).close();
+        awaitCounter("client.closed.client", 2);
+        assertEquals(clients.size() + 1, gateway.counters().join().get("rpc.taken"));
+        for (BlockingClient client : clients) {
+            client.close();
+        }
+    }
+
+    /** A clock that runs a task once, when the gateway accepts a connection. */
+    private static final class AcceptHook extends MonotonicClock {
+        volatile Runnable onNextAccept;
+
+        @Override public long now() {
+            Runnable task = onNextAccept;
+            if (task != null && StackWalker.getInstance().walk(
+                    frames -> frames.anyMatch(frame -> frame.getMethodName().equals("channelActive")))) {
+                onNextAccept = null;
+                task.run();
+            }
+            return super.now();
+        }
+    }
+}
