--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -146,7 +146,8 @@
          * it between CommandComplete and ReadyForQuery, "garbage" answers with a message of an unknown type.
          * Malformed answers: "norow" lacks the row, "tworows" has a second row instead of CommandComplete, "backwards"
          * has the row before its description and no CommandComplete, "misfit" has a value longer than its row, "huge"
-         * has a row message of a length near 2^31, "unended" has a string without its terminating zero.
+         * has a row message of a length near 2^31, "unended" has a string without its terminating zero,
+         * "unfinished" stops within its row, and the connection stays open.
          * Correct answers with an addition: "twice" repeats the answer, "noise" adds stray bytes, "future" reports a
          * position far in the future.
          */
@@ -312,8 +313,9 @@
                     ctx.close();
                 }
                 case "garbage" -> ctx.write(out.writeByte('?').writeInt(77));
-                case "", "half", "norow", "tworows", "backwards", "misfit", "huge", "unended", "twice", "noise",
-                    "future" -> execute(ctx, out, text.replaceFirst("^/\\*.*?\\*/\\s*", ""), text.startsWith("/*"));
+                case "", "half", "norow", "tworows", "backwards", "misfit", "huge", "unended", "unfinished", "twice",
+                    "noise", "future" ->
+                    execute(ctx, out, text.replaceFirst("^/\\*.*?\\*/\\s*", ""), text.startsWith("/*"));
                 default -> writeError(ctx, out, server.fault);
             }
         }
@@ -366,6 +368,10 @@
                                 .writeBytes(original, 0, descriptionLength);
                         original.release();
                     }
+                    case "unfinished" -> {
+                        ctx.write(out.writerIndex(completionStart - 1));
+                        return;
+                    }
                     case "misfit" -> out.setInt(rowStart + 7, out.getInt(rowStart + 7) + 1);
                     case "huge" -> out.setInt(rowStart + 1, Integer.MAX_VALUE - 9);
                     case "unended" -> out.setByte(out.writerIndex() - 1, 'x');
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -21,7 +21,7 @@
 import reedquay.pg.Messages;
 
 /** One client's connection: handles its messages in order and has at most one RPC in flight. Times in nanoseconds. */
-final class ClientSession extends ChannelInboundHandlerAdapter {
+final class ClientSession extends ChannelInboundHandlerAdapter implements InputOwner {
     /**
      * The states of a session. AWAITING_READINESS: an empty query waits until the gateway is ready; IN_FLIGHT: an RPC
      * is in flight; SKIPPING_TO_SYNC: after an extended-query message, all messages up to the Sync are skipped.
@@ -48,7 +48,7 @@
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
-    private int partialBytes; // bytes received of an incomplete message
+    private int accountedBytes; // what an incomplete message reserves, as last reported
     private int messagesSinceYield;
     private boolean resumeScheduled;
     private Map<String, String> startupParameters; // null where no client identifier is configured
@@ -97,19 +97,22 @@
         closeIfDrained();
         closeIfAbandoned();
         ctx.flush();
-        setPartialBytes(decoder.bufferedBytes());
+        accountUnfinishedInput();
     }
 
-    private void setPartialBytes(int bytes) {
-        int change = bytes - partialBytes;
-        partialBytes = bytes;
-        if (registered) {
-            gateway.addPartialBytes(change);
+    /** Accounts for the buffer that the decoder holds now; a session that is not registered has none. */
+    private void accountUnfinishedInput() {
+        if (decoder.reservedBytes() != accountedBytes) {
+            accountedBytes = decoder.reservedBytes();
+            dispatcher.setUnfinishedInput(this, accountedBytes);
         }
     }
 
-    int partialBytes() {
-        return partialBytes;
+    @Override public void rejectUnfinishedInput() {
+        dispatcher.counters.add("client.closed.partial");
+        accountedBytes = 0;
+        decoder.discardInput(); // also where the session closes already
+        rejectInput("a message begun while memory is short");
     }
 
     @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -232,7 +235,7 @@
         if (inputError == null && state != State.CLOSING) {
             inputError = error;
             decoder.discardInput();
-            setPartialBytes(0);
+            accountUnfinishedInput();
             processQueue();
             channel.flush();
         }
@@ -516,7 +519,7 @@
         state = State.CLOSING;
         lastProgressAt = dispatcher.clock.now();
         decoder.discardInput();
-        setPartialBytes(0);
+        accountUnfinishedInput();
         channel.config().setAutoRead(true);
         channel.writeAndFlush(Messages.errorResponse(buffer(), "FATAL", code, message, null)).addListener(f -> {
             if (channel instanceof SocketChannel socket) {
@@ -530,7 +533,7 @@
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         closing(CloseReason.CLIENT);
         state = State.CLOSING;
-        setPartialBytes(0);
+        accountUnfinishedInput();
         queued.forEach(this::release);
         queued.clear();
         if (rpc != null) {
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -491,6 +491,19 @@
         return Messages.query(allocator.buffer(32), readsPositions ? "SHOW server_load" : "SELECT 1");
     }
 
+    /**
+     * Accounts for the memory that an owner's incomplete message reserves, 0 for none. While all of them together
+     * reserve too much, messages are rejected, this one or others.
+     */
+    void setUnfinishedInput(InputOwner owner, int reservedBytes) {
+        limits.unfinishedInput.setReserved(owner, reservedBytes, clock.now());
+        for (InputOwner rejected = limits.unfinishedInput.ownerToReject(); rejected != null;
+                rejected = limits.unfinishedInput.ownerToReject()) {
+            limits.unfinishedInput.setReserved(rejected, 0, 0);
+            rejected.rejectUnfinishedInput();
+        }
+    }
+
     /** Closes an idle connection to free its descriptor for a new one; false where no connection is idle. */
     boolean closeAnyIdleConnection() {
         return pools.values().stream().anyMatch(p -> p.closeOldestIdle(Long.MAX_VALUE, "room"));
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -1,6 +1,7 @@
 package reedquay.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -12,7 +13,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -92,7 +92,8 @@
         counters.gauge("client.open", limits::openClients);
         counters.gauge("member.open", limits::openMemberConnections);
         counters.gauge("client.heldbytes", limits::heldBytes);
-        counters.gauge("client.partialbytes", limits::partialBytes);
+        counters.gauge("client.partialbytes", limits.unfinishedInput::totalBytes);
+        counters.gauge("memory.direct", PooledByteBufAllocator.DEFAULT.metric()::usedDirectMemory);
     }
 
     /** Starts to listen and to follow discovery; the future is the address that clients connect to. */
@@ -349,16 +350,6 @@
         return lastSweepAt;
     }
 
-    /** Counts bytes of incomplete messages; where they take too much memory, the longest such message is rejected. */
-    void addPartialBytes(int bytes) {
-        limits.addPartialBytes(bytes);
-        if (bytes > 0 && limits.isPartialMemoryFull()) {
-            counters.add("client.closed.partial");
-            sessions.stream().max(Comparator.comparingInt(ClientSession::partialBytes)).get()
-                    .rejectInput("a message begun while memory is short");
-        }
-    }
-
     /** Records whether the session is between statements, which makes it a candidate for closing. */
     void setIdle(ClientSession session, boolean isIdle) {
         idleSessions.remove(session);
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -1,5 +1,7 @@
 package reedquay.net;
 
+import io.netty.util.internal.PlatformDependent;
+import reedquay.memory.UnfinishedInput;
 import reedquay.pg.Frame;
 
 /** Limits on open connections and on memory for messages, derived from the configured limits, and the current use. */
@@ -19,10 +21,12 @@
     private int openMemberConnections;
     private final long maxHeldBytes;
     private long heldBytes;
-    private long partialBytes;
+    /** The memory that incomplete messages reserve; what their senders never complete must not use up the rest. */
+    final UnfinishedInput<InputOwner> unfinishedInput;
 
     Limits(int sockets, int memoryMb) {
         maxHeldBytes = memoryMb * 1024L * 1024 / 8;
+        unfinishedInput = new UnfinishedInput<>(Math.min(maxHeldBytes, PlatformDependent.maxDirectMemory() / 4));
         int available = Math.max(16, sockets - RESERVED_DESCRIPTORS);
         maxClients = available * 5 / 8;
         clientsSoftLimit = maxClients * 7 / 8;
@@ -54,20 +58,6 @@
         return heldBytes > maxHeldBytes;
     }
 
-    /** Counts the bytes of clients' incomplete messages. */
-    void addPartialBytes(int bytes) {
-        partialBytes += bytes;
-    }
-
-    /** Whether incomplete messages, which may never be completed, take more than that share of the memory. */
-    boolean isPartialMemoryFull() {
-        return partialBytes > maxHeldBytes;
-    }
-
-    long partialBytes() {
-        return partialBytes;
-    }
-
     /** The bytes of memory that a held message counts as. */
     static int memoryCost(Frame frame) {
         return frame.content().readableBytes() + MESSAGE_OVERHEAD_BYTES;
@@ -75,7 +65,7 @@
 
     /** How many further messages fit into the memory, at least one. */
     int remainingMessages() {
-        return (int) Math.max(1, (maxHeldBytes - heldBytes - partialBytes) / MAX_MESSAGE_BYTES);
+        return (int) Math.max(1, (maxHeldBytes - heldBytes - unfinishedInput.totalBytes()) / MAX_MESSAGE_BYTES);
     }
 
     long heldBytes() {
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -15,7 +15,7 @@
 import reedquay.pg.Messages;
 
 /** One connection to a member; carries one request at a time. Times in nanoseconds. */
-final class MemberConnection extends ChannelInboundHandlerAdapter {
+final class MemberConnection extends ChannelInboundHandlerAdapter implements InputOwner {
     /**
      * The states of a connection: OPENING until the startup is complete, SETTLING for a tick after a response, RESERVED
      * for a request that the routing engine has yet to confirm, BUSY from the query to the end of its response.
@@ -38,6 +38,14 @@
             return frames.size() == RESULT_TYPES.length();
         }
 
+        int bytes() {
+            int bytes = 0;
+            for (Frame frame : frames) {
+                bytes += frame.content().readableBytes();
+            }
+            return bytes;
+        }
+
         void release() {
             frames.forEach(ReferenceCountUtil::release);
             frames.clear();
@@ -55,6 +63,7 @@
     private Response response = new Response();
     private boolean written;
     private boolean malformed;
+    private int accountedBytes; // what an unfinished response reserves, as last reported
     private boolean readingAtSettlingEnd; // what is read now was unread when the settling ended
     private boolean carriedRequest, reused; // reused: it carried a request before the current one
     private Outcome openFailure = Outcome.NO_CONNECTION; // outcome of the waiting request if this never opens
@@ -137,6 +146,27 @@
         }
     }
 
+    @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+        accountUnfinishedInput();
+    }
+
+    private void accountUnfinishedInput() {
+        int bytes = decoder.reservedBytes() + (response == null ? 0 : response.bytes());
+        if (bytes != accountedBytes) {
+            accountedBytes = bytes;
+            dispatcher.setUnfinishedInput(this, bytes);
+        }
+    }
+
+    /** Closes the connection: its statement may have run, and nothing of the response is passed on. */
+    @Override public void rejectUnfinishedInput() {
+        dispatcher.counters.add("member.closed.partial");
+        accountedBytes = 0;
+        malformed = state == State.BUSY;
+        channel.close();
+        handleClosed();
+    }
+
     private void handleError(Frame frame) {
         String code = frame.isWellFormed() ? frame.errorFields().getOrDefault('C', "") : "";
         if (state == State.OPENING) {
@@ -248,6 +278,8 @@
         Response lastResponse = response;
         request = null;
         response = null;
+        decoder.discardInput();
+        accountUnfinishedInput();
         dispatcher.limits.memberConnectionClosed();
         pool.connectionClosed(this, previous, openFailure);
         if (interrupted != null && !malformed && (lastResponse.isComplete() || lastResponse.sqlState != null)) {
--- a/src/main/java/reedquay/pg/FrameDecoder.java
+++ b/src/main/java/reedquay/pg/FrameDecoder.java
@@ -20,7 +20,7 @@
     private final String allowedTypes;
     private boolean expectsUntyped;
     private boolean discarding;
-    private long discardedBytes;
+    private ChannelHandlerContext context;
 
     /**
      * expectsUntyped: whether the stream begins with messages that have no type; allowedTypes: the types that may come
@@ -52,18 +52,30 @@
         return discarding ? 0 : actualReadableBytes();
     }
 
-    /** Discards all further input; closes the connection when that exceeds the limit of one message. */
+    /** The capacity of the buffer that holds an incomplete message: what it takes of the memory; 0 without one. */
+    public int reservedBytes() {
+        return internalBuffer().capacity();
+    }
+
+    /**
+     * Releases the incomplete message and discards all further input; closes the connection when that exceeds the limit
+     * of one message. Messages that were passed on are not affected.
+     */
     public void discardInput() {
         discarding = true;
+        if (context != null && !context.isRemoved()) {
+            internalBuffer().skipBytes(internalBuffer().readableBytes()); // else it would be passed on
+            context.pipeline().replace(this, null, new InputDiscarder(maxMessageBytes));
+        }
+    }
+
+    @Override public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
     }
 
     @Override protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         if (discarding) {
-            discardedBytes += in.readableBytes();
             in.skipBytes(in.readableBytes());
-            if (discardedBytes > maxMessageBytes) {
-                ctx.close();
-            }
             return;
         }
         int typeBytes = expectsUntyped ? 0 : 1;
