--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -370,6 +370,17 @@
         dispatcher.submitInput(engine -> engine.rpcArrived(started));
     }
 
+    /**
+     * Whether the client is still connected; reads the socket, where the client's end may be unread. The gateway may
+     * have been held up since it last read it.
+     */
+    boolean isStillConnected() {
+        if (!reading && channel.config().isAutoRead()) { // else input is just being read, or may not be taken in now
+            SocketInput.readNow(channel);
+        }
+        return channel.isActive();
+    }
+
     /** The id of the connection, unique among those that are open. */
     String connectionId() {
         return channel.id().asShortText();
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -322,14 +322,36 @@
         callOut.frontState = request;
         counters.add("callout");
         callOut.awaitingConnection = true;
+        if (clientHasLeft(callOut.rpc)) {
+            requestFailed(request, Outcome.NEVER_SENT);
+            return;
+        }
         pool.submit(request);
     }
 
     @Override public void proceed(CallOut callOut) {
         MemberRequest request = (MemberRequest) callOut.frontState;
-        if (!request.completed) {
-            request.connection.send(request);
+        if (request.completed) {
+            return;
+        }
+        if (clientHasLeft(callOut.rpc)) {
+            request.pool.withdraw(request);
+            requestFailed(request, Outcome.NEVER_SENT);
+            return;
+        }
+        request.connection.send(request);
+    }
+
+    /**
+     * Ends the RPC if its client has left. Prevents call-outs for a client that has left, which happen when the
+     * engine's timers run before the event loop has read that client's end.
+     */
+    private boolean clientHasLeft(Rpc rpc) {
+        if (!rpc.ended && !((ClientSession) rpc.frontState).isStillConnected()) {
+            counters.add("rpc.clientgone.unread");
+            clientDisconnected(rpc);
         }
+        return rpc.ended;
     }
 
     @Override public void cancel(CallOut callOut) {
--- a/src/test/java/reedquay/net/ScriptedEngine.java
+++ b/src/test/java/reedquay/net/ScriptedEngine.java
@@ -15,9 +15,13 @@
 
 /** An engine controlled by a test: it holds every RPC for ever, but for what the test does at an arrival. */
 final class ScriptedEngine implements RoutingEngine {
-    private final RoutingActions actions;
+    final RoutingActions actions;
+    /** The members of the last list. */
+    volatile List<ListedMember> members = List.of();
     /** The RPCs without an answer, in the order of their arrival. */
     final List<Rpc> held = new ArrayList<>();
+    /** Runs when the connection of a call-out is ready, before the call-out proceeds. */
+    volatile Runnable onConnectionReady = () -> { };
     /** Runs at each arrival, before the RPC is held. */
     volatile Consumer<Rpc> onArrival = rpc -> { };
 
@@ -43,12 +47,17 @@
 
     @Override public void beginBatch(long now) { }
 
-    @Override public void membersListed(ListedMember.ListKind kind, List<ListedMember> entries) { }
+    @Override public void membersListed(ListedMember.ListKind kind, List<ListedMember> entries) {
+        members = entries;
+    }
 
     @Override public void callOutEnded(CallOut callOut, Outcome outcome, long took, boolean ended, long position,
             Role role, LoadReport report) { }
 
-    @Override public void connectionReady(CallOut callOut) { }
+    @Override public void connectionReady(CallOut callOut) {
+        onConnectionReady.run();
+        actions.proceed(callOut);
+    }
 
     @Override public void probeEnded(Member member, Outcome outcome, long took, LoadReport report) { }
 
--- a/src/test/java/reedquay/net/UnreadInputTest.java
+++ b/src/test/java/reedquay/net/UnreadInputTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import reedquay.core.CallOut;
 import reedquay.pg.Messages;
 import reedquay.route.Router;
 
@@ -155,6 +156,36 @@
         }
     }
 
+    /**
+     * Prevents a further call-out for a client that has left, which happens when the engine decides on it before the
+     * client's end is read; it may have left while the gateway was held up.
+     */
+    @Test void clientWhoseEndIsUnreadGetsNoFurtherCallOut() throws Exception {
+        ScriptedEngine[] engine = new ScriptedEngine[1];
+        start(configuration(), new GatewayComponents((settings, actions) -> engine[0] = new ScriptedEngine(actions),
+                null), new MonotonicClock());
+        for (boolean leavesWhileTheConnectionOpens : new boolean[] {false, true}) {
+            BlockingClient client = new BlockingClient(address).startup();
+            client.send(Messages.query(Unpooled.buffer(), write(leavesWhileTheConnectionOpens ? 2 : 1, "v")));
+            while (engine[0].members.isEmpty() || gateway.counters().join().get("rpc.inhand") == 0) {
+                sleep(1);
+            }
+            Runnable leave = () -> assertDoesNotThrow(client::close);
+            gateway.runOnEventLoop(() -> {
+                if (leavesWhileTheConnectionOpens) {
+                    engine[0].onConnectionReady = leave;
+                } else {
+                    leave.run();
+                }
+                CallOut callOut = new CallOut(engine[0].held.get(0), engine[0].members.get(0).member(), 0);
+                engine[0].actions.sendCallOut(callOut, 0);
+            }).join();
+            awaitCounter("rpc.inhand", 0);
+            awaitCounter("callout.NEVER_SENT", leavesWhileTheConnectionOpens ? 2 : 1);
+            assertEquals(List.of(), standIn.server("one").statements);
+        }
+    }
+
     /** A clock that runs a task once, when the gateway accepts a connection. */
     private static final class AcceptHook extends MonotonicClock {
         volatile Runnable onNextAccept;
