--- a/src/main/java/reedquay/DeferredAction.java
+++ b/src/main/java/reedquay/DeferredAction.java
@@ -4,14 +4,19 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * An action that any thread can request at any time, also before it is available. Requests made earlier are merged
- * into one, which runs as soon as the action is set. Thread-safe.
+ * An action that any thread can request at any time, also before it is available. It runs once at a time, and each
+ * request is followed by a run that begins after it; requests made before a run begins are merged into that run. So
+ * what the action reads last is what it has applied last. Thread-safe.
  */
 final class DeferredAction {
     private final AtomicBoolean requested = new AtomicBoolean();
+    private final AtomicBoolean running = new AtomicBoolean();
     private final AtomicReference<Runnable> action = new AtomicReference<>();
 
-    /** Runs the action in the calling thread, or, if none is set yet, when it is set. */
+    /**
+     * Runs the action in the calling thread; if it is running, has it run once more in the thread that runs it; if none
+     * is set yet, has it run when it is set.
+     */
     void request() {
         requested.set(true);
         runIfRequested();
@@ -25,8 +30,15 @@
 
     private void runIfRequested() {
         Runnable readyAction = action.get();
-        if (readyAction != null && requested.getAndSet(false)) {
-            readyAction.run();
+        // again, since a request may come between the last run and the reset of running
+        while (readyAction != null && requested.get() && running.compareAndSet(false, true)) {
+            try {
+                while (requested.getAndSet(false)) {
+                    readyAction.run();
+                }
+            } finally {
+                running.set(false);
+            }
         }
     }
 }
