--- a/src/main/java/reedquay/core/Settings.java
+++ b/src/main/java/reedquay/core/Settings.java
@@ -32,4 +32,16 @@
 
     /** The deductions from utility. */
     public record Costs(double crossZone, double wastedWork, double probe, double peerMessage, double lateFailure) { }
+
+    private static final long DEFAULT_SOFT_DEADLINE = 1_000_000_000;
+
+    /** The shortest soft deadline of all methods that have one. */
+    public long shortestSoftDeadline() {
+        return methods.stream().mapToLong(Method::softDeadline).filter(d -> d > 0).min().orElse(DEFAULT_SOFT_DEADLINE);
+    }
+
+    /** The retry-after of a pushback whose reason gives no better estimate; 0 where the client may be given none. */
+    public long standardRetryAfter() {
+        return capabilities.retryAfter() ? Math.min(shortestSoftDeadline() / 4, capabilities.maxRetryAfter()) : 0;
+    }
 }
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -8,7 +8,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -35,8 +34,7 @@
     final FrameDecoder decoder = FrameDecoder.forClient(Limits.MAX_MESSAGE_BYTES);
     private final Gateway gateway;
     private final Dispatcher dispatcher;
-    private final ArrayDeque<Frame> queued = new ArrayDeque<>();
-    private int queuedBytes;
+    private final MessageQueue queued;
     private State state = State.STARTUP;
     private Channel channel;
     private Rpc rpc;
@@ -64,6 +62,7 @@
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
         this.gateway = gateway;
         this.dispatcher = dispatcher;
+        queued = new MessageQueue(dispatcher.limits.statementMemory);
     }
 
     @Override public void handlerAdded(ChannelHandlerContext ctx) {
@@ -86,10 +85,9 @@
         if (state != State.STARTUP) {
             lastProgressAt = gateway.lastSweepAt();
         }
-        queued.addLast(frame);
-        queuedBytes += Limits.memoryCost(frame);
-        dispatcher.limits.addHeldBytes(Limits.memoryCost(frame));
+        queued.add(frame);
         processQueue();
+        queued.accountNewest();
     }
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -137,12 +135,11 @@
                 return;
             }
             gateway.setIdle(this, false); // before any callback of this message can look for a session to close
-            Frame frame = queued.pollFirst();
-            queuedBytes -= Limits.memoryCost(frame);
+            Frame frame = queued.poll();
             try {
                 handle(frame);
             } finally {
-                release(frame);
+                frame.release();
             }
         }
         boolean allAnswered = queued.isEmpty() && state != State.IN_FLIGHT && state != State.AWAITING_READINESS;
@@ -152,9 +149,8 @@
         if (state == State.CLOSING) {
             return; // further input is discarded
         }
-        // reading is paused for a client that pipelines too much or reads no answers, and for all while memory is short
-        channel.config().setAutoRead(queuedBytes <= dispatcher.limits.maxQueuedBytes
-                && !dispatcher.limits.isMemoryFull());
+        // reading is paused for a client that pipelines too much or reads no answers
+        channel.config().setAutoRead(queued.bytes() <= dispatcher.limits.maxQueuedBytes);
         closeIfDrained();
         gateway.setIdle(this, state == State.IDLE && queued.isEmpty());
     }
@@ -221,12 +217,6 @@
         return state == State.IN_FLIGHT || state == State.AWAITING_READINESS || !queued.isEmpty();
     }
 
-    /** Whether reading is paused because the gateway's memory for messages is full. */
-    boolean isPausedForMemory() {
-        return !channel.config().isAutoRead() && queuedBytes <= dispatcher.limits.maxQueuedBytes
-                && state != State.CLOSING;
-    }
-
     /**
      * Reads nothing more from this client, whose input is malformed. The error is sent once all earlier messages are
      * answered, since an RPC in flight still gets its answer.
@@ -257,10 +247,9 @@
         }
         switch (frame.type) {
             case 'Q' -> {
-                if (state == State.SKIPPING_TO_SYNC) {
-                    return;
+                if (state != State.SKIPPING_TO_SYNC) {
+                    handleQuery(frame);
                 }
-                handleQuery(frame);
             }
             case 'X' -> closeAfterFlush(CloseReason.TERMINATE);
             case 'P', 'B', 'D', 'E', 'C', 'F' -> {
@@ -296,6 +285,10 @@
     }
 
     private void handleQuery(Frame frame) {
+        if (MessageQueue.isDropped(frame)) {
+            refuseForMemory();
+            return;
+        }
         if (frame.bodyStartsWith("/*")) { // the usual case
             startRpc(frame);
             return;
@@ -361,8 +354,11 @@
             write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "42601", e.getMessage(), null)));
             return;
         }
+        if (!dispatcher.limits.statementMemory.tryHold(parsed.group, parsed.tenant, MessageQueue.memoryCost(frame))) {
+            refuseForMemory();
+            return;
+        }
         frame.retain(); // released with the final answer
-        dispatcher.limits.addHeldBytes(Limits.memoryCost(frame));
         statement = parsed;
         state = State.IN_FLIGHT;
         rpc = dispatcher.acceptRpc(this, statement, backlogWait, gateway.clientIdentifier());
@@ -370,6 +366,18 @@
         dispatcher.submitInput(engine -> engine.rpcArrived(started));
     }
 
+    /** Answers a statement that memory is short for; nothing of it has run. */
+    private void refuseForMemory() {
+        if (abandonReason != null) {
+            write(refusal());
+            return;
+        }
+        dispatcher.counters.add("client.refused.memory");
+        write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "53300",
+                "no memory for this statement now; trying again is harmless",
+                Dispatcher.retryAfterMillis(dispatcher.settings().standardRetryAfter()))));
+    }
+
     /**
      * Whether the client is still connected; reads the socket, where the client's end may be unread. The gateway may
      * have been held up since it last read it.
@@ -430,15 +438,12 @@
         }
     }
 
-    private void release(Frame frame) {
-        dispatcher.limits.addHeldBytes(-Limits.memoryCost(frame));
-        frame.release();
-    }
-
     private void clearRpc() {
         rpc = null;
         if (statement != null) {
-            release(statement.frame);
+            dispatcher.limits.statementMemory.release(statement.group, statement.tenant,
+                    MessageQueue.memoryCost(statement.frame));
+            statement.frame.release();
             statement = null;
         }
     }
@@ -545,7 +550,6 @@
         closing(CloseReason.CLIENT);
         state = State.CLOSING;
         accountUnfinishedInput();
-        queued.forEach(this::release);
         queued.clear();
         if (rpc != null) {
             Rpc abandoned = rpc;
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -372,10 +372,14 @@
 
     @Override public void pushBack(Rpc rpc, long retryAfter) {
         recordFinalAnswer(rpc, "rpc.pushedback", true);
-        // rounded up, since a client that retries any earlier finds nothing changed
-        String retryAfterMillis = retryAfter > 0 ? Long.toString((retryAfter + 999_999) / 1_000_000) : null;
         ((ClientSession) rpc.frontState).sendError("53300", "no room for this statement now; trying again is harmless",
-                retryAfterMillis);
+                retryAfterMillis(retryAfter));
+    }
+
+    /** The text for a retry-after in nanoseconds; null for 0, which is none. */
+    static String retryAfterMillis(long retryAfter) {
+        // rounded up, since a client that retries any earlier finds nothing changed
+        return retryAfter > 0 ? Long.toString((retryAfter + 999_999) / 1_000_000) : null;
     }
 
     @Override public void abort(Rpc rpc) {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -91,7 +91,7 @@
         sweepInterval = Math.max(1_000_000, dispatcher.settings().capabilities().connectTimeout() / 8);
         counters.gauge("client.open", limits::openClients);
         counters.gauge("member.open", limits::openMemberConnections);
-        counters.gauge("client.heldbytes", limits::heldBytes);
+        counters.gauge("client.heldbytes", limits.statementMemory::totalBytes);
         counters.gauge("client.partialbytes", limits.unfinishedInput::totalBytes);
         counters.gauge("memory.direct", PooledByteBufAllocator.DEFAULT.metric()::usedDirectMemory);
     }
@@ -158,15 +158,9 @@
         dispatcher.runIsolated(discovery::closeSilentWatches);
         dispatcher.runIsolated(() -> checkReady(lastSweepAt));
         dispatcher.runIsolated(this::forgetOldPause);
-        // bounded: resumed all at once, the sessions would exceed the memory again
-        int sessionsToResume = limits.isMemoryFull() ? 0 : limits.remainingMessages();
         for (ClientSession session : new ArrayList<>(sessions)) {
             dispatcher.runIsolated(
                     () -> session.sweep(lastSweepAt, dispatcher.settings().capabilities().connectTimeout()));
-            if (sessionsToResume > 0 && session.isPausedForMemory()) {
-                sessionsToResume--;
-                dispatcher.runIsolated(session::resume);
-            }
         }
     }
 
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -1,14 +1,13 @@
 package reedquay.net;
 
 import io.netty.util.internal.PlatformDependent;
+import reedquay.memory.StatementMemory;
 import reedquay.memory.UnfinishedInput;
-import reedquay.pg.Frame;
 
 /** Limits on open connections and on memory for messages, derived from the configured limits, and the current use. */
 final class Limits {
     static final int MAX_MESSAGE_BYTES = 256 * 1024; // fits a statement with a value of 64 KiB in hex
     static final long UNUSED_TIMEOUT_NANOS = 2_000_000_000; // after this a connection without an open RPC may be closed
-    private static final int MESSAGE_OVERHEAD_BYTES = 128; // memory that a message uses beyond its bytes
     private static final int RESERVED_DESCRIPTORS = 64; // for the process itself: jars, selectors, logs, discovery
 
     final int maxClients;
@@ -19,13 +18,14 @@
     final int maxQueuedBytes; // of one client's pipelined messages
     private int openClients;
     private int openMemberConnections;
-    private final long maxHeldBytes;
-    private long heldBytes;
+    /** The memory that complete statements take until they are answered. */
+    final StatementMemory statementMemory;
     /** The memory that incomplete messages reserve; what their senders never complete must not use up the rest. */
     final UnfinishedInput<InputOwner> unfinishedInput;
 
     Limits(int sockets, int memoryMb) {
-        maxHeldBytes = memoryMb * 1024L * 1024 / 8;
+        long maxHeldBytes = memoryMb * 1024L * 1024 / 8;
+        statementMemory = new StatementMemory(maxHeldBytes);
         unfinishedInput = new UnfinishedInput<>(Math.min(maxHeldBytes, PlatformDependent.maxDirectMemory() / 4));
         int available = Math.max(16, sockets - RESERVED_DESCRIPTORS);
         maxClients = available * 5 / 8;
@@ -48,30 +48,6 @@
         return openClients;
     }
 
-    /** Counts the bytes of clients' messages that are held until they are answered. */
-    void addHeldBytes(int bytes) {
-        heldBytes += bytes;
-    }
-
-    /** Whether held messages take more than their share of the configured memory; reading from clients then pauses. */
-    boolean isMemoryFull() {
-        return heldBytes > maxHeldBytes;
-    }
-
-    /** The bytes of memory that a held message counts as. */
-    static int memoryCost(Frame frame) {
-        return frame.content().readableBytes() + MESSAGE_OVERHEAD_BYTES;
-    }
-
-    /** How many further messages fit into the memory, at least one. */
-    int remainingMessages() {
-        return (int) Math.max(1, (maxHeldBytes - heldBytes - unfinishedInput.totalBytes()) / MAX_MESSAGE_BYTES);
-    }
-
-    long heldBytes() {
-        return heldBytes;
-    }
-
     boolean canOpenMemberConnection() {
         return openMemberConnections < maxMemberConnections;
     }
--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -222,8 +222,7 @@
             // divided by the root of the count only: the smaller a gateway's part, the more its arrivals vary by chance
             bucket.capacity = tenant.quotaPerSecond() / Math.sqrt(gatewayCount);
         }
-        shortestSoftDeadline = settings.methods().stream().mapToLong(Method::softDeadline).filter(d -> d > 0).min()
-                .orElse(second);
+        shortestSoftDeadline = settings.shortestSoftDeadline();
         long shortestMaxAge = settings.methods().stream().filter(m -> m.consistency() == Consistency.BOUNDED)
                 .mapToLong(Method::maxAge).min().orElse(2 * second);
         probeThreshold = shortestMaxAge / 2;
@@ -239,7 +238,7 @@
         coldWindow = Math.max(settings.rules().coldWindow(), tick);
         coldShare = settings.rules().coldShare();
         coldCapacityMultiple = settings.rules().coldCapacityMultiple();
-        retryAfter = capabilities.retryAfter() ? Math.min(shortestSoftDeadline / 4, capabilities.maxRetryAfter()) : 0;
+        retryAfter = settings.standardRetryAfter();
         overallLatency = new LatencyHistogram(shortestSoftDeadline / 16);
         if (capabilities.memberListOnRequest()) {
             actions.requestMemberList();
