--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -59,6 +59,8 @@
     private final Map<Long, Rpc> inFlightById = new LinkedHashMap<>(); // RPCs without a final answer, by id
     private final ArrayDeque<Consumer<RoutingEngine>> pendingInputs = new ArrayDeque<>();
     private final ArrayDeque<Runnable> afterBatchTasks = new ArrayDeque<>();
+    /** RPCs found to have lost their client within a batch; until the next one the engine may still answer them. */
+    private final Set<Rpc> departed = new HashSet<>();
     private final ArrayDeque<MemberConnection> settling = new ArrayDeque<>(); // oldest response first
     private boolean inBatch;
     private boolean batchFailed; // since the last sweep: timers that were due may not have been handled
@@ -350,6 +352,8 @@
         if (!rpc.ended && !((ClientSession) rpc.frontState).isStillConnected()) {
             counters.add("rpc.clientgone.unread");
             clientDisconnected(rpc);
+            departed.add(rpc);
+            submitInput(engine -> departed.remove(rpc)); // by then the engine has been told
         }
         return rpc.ended;
     }
@@ -371,6 +375,9 @@
     }
 
     @Override public void pushBack(Rpc rpc, long retryAfter) {
+        if (departed.contains(rpc)) {
+            return;
+        }
         recordFinalAnswer(rpc, "rpc.pushedback", true);
         ((ClientSession) rpc.frontState).sendError("53300", "no room for this statement now; trying again is harmless",
                 retryAfterMillis(retryAfter));
@@ -383,6 +390,9 @@
     }
 
     @Override public void abort(Rpc rpc) {
+        if (departed.contains(rpc)) {
+            return;
+        }
         recordFinalAnswer(rpc, "rpc.aborted", true);
         sendAbort(rpc);
     }
--- a/src/test/java/reedquay/net/ScriptedEngine.java
+++ b/src/test/java/reedquay/net/ScriptedEngine.java
@@ -22,6 +22,8 @@
     final List<Rpc> held = new ArrayList<>();
     /** Runs when the connection of a call-out is ready, before the call-out proceeds. */
     volatile Runnable onConnectionReady = () -> { };
+    /** Runs once, at the end of the next batch. */
+    Runnable afterNextBatch = () -> { };
     /** Runs at each arrival, before the RPC is held. */
     volatile Consumer<Rpc> onArrival = rpc -> { };
 
@@ -61,5 +63,9 @@
 
     @Override public void probeEnded(Member member, Outcome outcome, long took, LoadReport report) { }
 
-    @Override public void endBatch() { }
+    @Override public void endBatch() {
+        Runnable task = afterNextBatch;
+        afterNextBatch = () -> { };
+        task.run();
+    }
 }
--- a/src/test/java/reedquay/net/UnreadInputTest.java
+++ b/src/test/java/reedquay/net/UnreadInputTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import reedquay.core.CallOut;
+import reedquay.core.Rpc;
 import reedquay.pg.Messages;
 import reedquay.route.Router;
 
@@ -28,7 +29,9 @@
  */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class UnreadInputTest {
-    private static final long TICK_MILLIS = 80;
+    private static final long TICK_MILLIS = 400;
+    private static final long DEPARTURE_CHECK_NANOS = 1_000_000; // as in ClientSession
+    private static final double CONNECT_TIMEOUT_MILLIS = 2000; // longer than a tick and the time around it
 
     private final StandIn standIn = new StandIn(0, 200, "one");
     private Gateway gateway;
@@ -38,7 +41,9 @@
         JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
         config.addProperty("listen", "127.0.0.1:0");
         config.addProperty("discovery", "127.0.0.1:" + standIn.discoveryAddress().getPort());
-        config.getAsJsonObject("settings").addProperty("Tick", (double) TICK_MILLIS);
+        JsonObject settings = config.getAsJsonObject("settings");
+        settings.addProperty("Tick", (double) TICK_MILLIS);
+        settings.getAsJsonObject("Allowed").addProperty("ConnectTimeout", CONNECT_TIMEOUT_MILLIS);
         return config;
     }
 
@@ -57,7 +62,7 @@
      * time; no socket is read in between.
      */
     private static void runBeforeTimersDueWithin(long millis, Task task) {
-        startTimer(() -> {
+        startTimer(0, () -> {
             try {
                 task.run();
             } catch (IOException e) {
@@ -71,9 +76,9 @@
         void run() throws IOException;
     }
 
-    /** Called on the event loop: starts a timer that is due at once. */
-    private static void startTimer(Runnable task) {
-        ThreadExecutorMap.currentExecutor().schedule(task, 0, TimeUnit.NANOSECONDS);
+    /** Called on the event loop. */
+    private static void startTimer(long delayNanos, Runnable task) {
+        ThreadExecutorMap.currentExecutor().schedule(task, delayNanos, TimeUnit.NANOSECONDS);
     }
 
     private static void sleep(long millis) {
@@ -142,12 +147,15 @@
         waiting.send(Messages.startupMessage(Unpooled.buffer(), "portal", "crm"));
         waiting.send(Messages.query(Unpooled.buffer(), write(100, "v")));
         sleep(50);
-        Runnable leave = () -> runBeforeTimersDueWithin(5, () -> {
-            waiting.close();
-            sleep(20);
+        // timers that a timer starts run after the next poll of the sockets, in which the statement is read: the first
+        // one lasts until the check of the client's end is due too, and the second one comes right before that check
+        clock.onNextAccept = () -> startTimer(0, () -> {
+            startTimer(0, () -> sleep(5));
+            startTimer(DEPARTURE_CHECK_NANOS * 9 / 10, () -> {
+                assertDoesNotThrow(waiting::close);
+                sleep(20);
+            });
         });
-        // a timer that a timer starts runs after the next poll of the sockets, in which the statement is read
-        clock.onNextAccept = () -> startTimer(() -> startTimer(leave));
         clients.remove(0).close();
         awaitCounter("client.closed.client", 2);
         assertEquals(clients.size() + 1, gateway.counters().join().get("rpc.taken"));
@@ -172,18 +180,26 @@
             }
             Runnable leave = () -> assertDoesNotThrow(client::close);
             gateway.runOnEventLoop(() -> {
-                if (leavesWhileTheConnectionOpens) {
-                    engine[0].onConnectionReady = leave;
-                } else {
+                engine[0].onConnectionReady = leave;
+                engine[0].afterNextBatch = () -> {
+                    Rpc rpc = engine[0].held.get(0);
+                    CallOut callOut = new CallOut(rpc, engine[0].members.get(0).member(), 0);
+                    if (leavesWhileTheConnectionOpens) {
+                        engine[0].actions.sendCallOut(callOut, 0);
+                        return;
+                    }
                     leave.run();
-                }
-                CallOut callOut = new CallOut(engine[0].held.get(0), engine[0].members.get(0).member(), 0);
-                engine[0].actions.sendCallOut(callOut, 0);
+                    engine[0].actions.sendCallOut(callOut, 0);
+                    engine[0].actions.abort(rpc); // the engine does not know of the departure yet
+                };
+                engine[0].actions.scheduleWakeUp(0);
             }).join();
             awaitCounter("rpc.inhand", 0);
             awaitCounter("callout.NEVER_SENT", leavesWhileTheConnectionOpens ? 2 : 1);
             assertEquals(List.of(), standIn.server("one").statements);
         }
+        assertEquals(0, gateway.counters().join().getOrDefault("rpc.aborted", 0L));
+        assertEquals(0, gateway.counters().join().getOrDefault("broken.decision", 0L));
     }
 
     /** A clock that runs a task once, when the gateway accepts a connection. */
