Measure the turns of the event loop, the heap and answers that are not read

Change: LoopMonitor takes the place of the loop's select strategy and decides as Netty's own; new counters loop.turn.longest.us, loop.turn.over20ms, loop.turn.over100ms, client.outputbytes, memory.heap.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.DecoderException;
 import java.net.InetSocketAddress;
@@ -80,6 +81,7 @@
     }
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+        dispatcher.workBegins();
         Frame frame = (Frame) message;
         reading = true;
         if (state != State.STARTUP) {
@@ -201,6 +203,12 @@
         }
     }
 
+    /** The bytes of answers that are not written yet, since the client has not read the ones before. */
+    long unreadOutputBytes() {
+        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+    }
+
     long connectedAt() {
         return connectedAt;
     }
--- a/src/main/java/reedquay/net/DiscoveryClient.java
+++ b/src/main/java/reedquay/net/DiscoveryClient.java
@@ -220,6 +220,7 @@
         }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+            dispatcher.workBegins();
             try {
                 if (message instanceof HttpResponse response && response.status().code() != 200) {
                     dispatcher.counters.add("discovery.refused");
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -50,6 +50,7 @@
     private final Trace trace = new Trace();
     private final UnixTimeEstimate unixTime;
     private final EventLoop loop;
+    private final LoopMonitor loopMonitor;
     private final Connector connector;
     private final Settings settings;
     private final RoutingEngine engine;
@@ -70,9 +71,11 @@
     private int inFlight;
     private int outstandingProbes;
 
-    Dispatcher(EventLoop loop, Connector connector, MonotonicClock clock, Limits limits, Counters counters,
-            SettingsReader reader, long seed, BiFunction<Settings, RoutingActions, RoutingEngine> engineFactory) {
+    Dispatcher(EventLoop loop, LoopMonitor loopMonitor, Connector connector, MonotonicClock clock, Limits limits,
+            Counters counters, SettingsReader reader, long seed,
+            BiFunction<Settings, RoutingActions, RoutingEngine> engineFactory) {
         this.loop = loop;
+        this.loopMonitor = loopMonitor;
         this.connector = connector;
         this.clock = clock;
         this.limits = limits;
@@ -107,6 +110,7 @@
      * batch. The tasks given to runAfterBatch run after the last batch.
      */
     void submitInput(Consumer<RoutingEngine> input) {
+        loopMonitor.workBegins();
         pendingInputs.addLast(input);
         if (inBatch) {
             return;
@@ -150,8 +154,14 @@
         }
     }
 
+    /** Notes that the event loop works, from which on this turn's length counts. */
+    void workBegins() {
+        loopMonitor.workBegins();
+    }
+
     /** Runs a step of a periodic task; its failure is counted and logged, and affects no other step. */
     void runIsolated(Runnable step) {
+        loopMonitor.workBegins();
         try {
             step.run();
         } catch (Throwable e) {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -18,6 +19,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -35,7 +37,9 @@
     private static final long BIND_RETRY_NANOS = 50_000_000;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
 
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final LoopMonitor loopMonitor = new LoopMonitor();
+    private final NioEventLoopGroup group =
+            new NioEventLoopGroup(1, (Executor) null, SelectorProvider.provider(), () -> loopMonitor);
     private final EventLoop loop = group.next();
     private final Configuration configuration;
     private final ClientIdentifier clientIdentifier; // null where only tenants are identified
@@ -82,7 +86,7 @@
         clientIdentifier = components.clientIdentifier();
         limits = new Limits(configuration.sockets(), configuration.memoryMb());
         Connector connector = new Connector(loop);
-        dispatcher = new Dispatcher(loop, connector, clock, limits, counters, configuration.settings(),
+        dispatcher = new Dispatcher(loop, loopMonitor, connector, clock, limits, counters, configuration.settings(),
                 configuration.seed(), components.engineFactory());
         discovery = new DiscoveryClient(dispatcher, connector, loop);
         discoveryAddress = configuration.discovery();
@@ -93,9 +97,17 @@
         counters.gauge("member.open", limits::openMemberConnections);
         counters.gauge("client.heldbytes", limits.statementMemory::totalBytes);
         counters.gauge("client.partialbytes", limits.unfinishedInput::totalBytes);
+        counters.gauge("client.outputbytes", this::unreadOutputBytes);
+        counters.gauge("memory.heap", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+        loopMonitor.register(counters);
         counters.gauge("memory.direct", PooledByteBufAllocator.DEFAULT.metric()::usedDirectMemory);
     }
 
+    /** The bytes of answers that wait until their clients read them. */
+    private long unreadOutputBytes() {
+        return sessions.stream().mapToLong(ClientSession::unreadOutputBytes).sum();
+    }
+
     /** Starts to listen and to follow discovery; the future is the address that clients connect to. */
     public CompletableFuture<InetSocketAddress> start() {
         CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -104,6 +104,7 @@
     }
 
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
+        dispatcher.workBegins();
         Frame frame = (Frame) message;
         boolean retained = false;
         try {
--- a/src/test/java/reedquay/net/GatewayTest.java
+++ b/src/test/java/reedquay/net/GatewayTest.java
@@ -290,8 +290,8 @@
      */
     @Test void tasksAfterABatchAreNotNested() {
         Configuration config = Configuration.parse(configuration().toString());
-        Dispatcher dispatcher = new Dispatcher(null, null, new MonotonicClock(), new Limits(128, 192), new Counters(),
-                config.settings(), 1, Router::new);
+        Dispatcher dispatcher = new Dispatcher(null, new LoopMonitor(), null, new MonotonicClock(),
+                new Limits(128, 192), new Counters(), config.settings(), 1, Router::new);
         int[] runs = new int[1];
         Runnable[] task = new Runnable[1];
         task[0] = () -> {
@@ -466,7 +466,7 @@
             EmbeddedChannel timers = new EmbeddedChannel();
             timers.freezeTime();
             Configuration config = Configuration.parse(configuration().toString());
-            Dispatcher dispatcher = new Dispatcher(timers.eventLoop(), null, new MonotonicClock() {
+            Dispatcher dispatcher = new Dispatcher(timers.eventLoop(), new LoopMonitor(), null, new MonotonicClock() {
                 @Override public long now() {
                     return frozenTime;
                 }
