Add lab flood and lab departures: abusive clients beside usual ones

Change: two lab commands. flood runs a gateway process with usual clients beside abusive ones and judges what the usual ones see; departures runs clients that leave with much unread and judges what members receive. GatewayProcess takes variables instead of the soak's faults, so that both can use it.

--- a/lab/src/main/java/reedquay/lab/Lab.java
+++ b/lab/src/main/java/reedquay/lab/Lab.java
@@ -13,13 +13,16 @@
 import reedquay.lab.FairQueueScenarios.AdmissionMode;
 import reedquay.lab.GatewaySimulation.RequestStream;
 import reedquay.lab.GatewaySimulation.RetryPolicy;
+import reedquay.lab.flood.DepartureCommand;
+import reedquay.lab.flood.FloodCommand;
 import reedquay.lab.soak.SoakCommand;
 
 /** The command line of the lab: reproducible measurements, of which each command prints a table in Markdown. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Measurements of reedquay.",
         subcommands = {Lab.GreedyClient.class, Lab.RetryAfterAccuracy.class, Lab.EvenClients.class,
             Lab.QueueDisciplines.class, Lab.AdmissionCost.class, LoadGenerator.class, FleetCommand.class,
-            TraceSummary.class, JournalTable.class, SoakCommand.class})
+            TraceSummary.class, JournalTable.class, SoakCommand.class, FloodCommand.class,
+            DepartureCommand.class})
 public final class Lab {
     private Lab() { }
 
--- a/lab/src/main/java/reedquay/lab/soak/FaultLibrary.java
+++ b/lab/src/main/java/reedquay/lab/soak/FaultLibrary.java
@@ -59,10 +59,9 @@
         }
     }
 
-    /** Adds the variables with which a process loads the library. */
-    void addTo(Map<String, String> environment) {
-        environment.put("LD_PRELOAD", library.toString());
-        environment.put("SOAK_FAULTS", sharedFile.toString());
+    /** The variables with which a process loads the library. */
+    Map<String, String> variables() {
+        return Map.of("LD_PRELOAD", library.toString(), "SOAK_FAULTS", sharedFile.toString());
     }
 
     /** Shifts the wall clock against its true time; the monotonic clock runs on. */
--- a/lab/src/main/java/reedquay/lab/soak/GatewayProcess.java
+++ b/lab/src/main/java/reedquay/lab/soak/GatewayProcess.java
@@ -3,16 +3,19 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** A gateway in a process of its own, started with the flags of deploy/balancer.toml. */
-final class GatewayProcess {
+public final class GatewayProcess {
     private static final Pattern LISTENING = Pattern.compile("listening on /?([0-9.]+):(\\d+)");
     private static final Pattern COUNTER = Pattern.compile("([a-z][a-zA-Z0-9. ]*)=(-?\\d+)");
     private static final int START_TIMEOUT_SECONDS = 30;
@@ -26,14 +29,15 @@
     private final CountDownLatch outputEnded = new CountDownLatch(1);
     private volatile InetSocketAddress address;
 
-    /** Starts the process and waits until it listens. */
-    GatewayProcess(Path jar, Path config, FaultLibrary faults) throws IOException, InterruptedException {
+    /** Starts the process, with these variables beside the usual ones, and waits until it listens. */
+    public GatewayProcess(Path jar, Path config, Map<String, String> variables)
+            throws IOException, InterruptedException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
         command.addAll(List.of("-jar", jar.toString(), "serve", config.toString()));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        faults.addTo(builder.environment());
+        builder.environment().putAll(variables);
         process = builder.start();
         Thread reader = new Thread(this::readOutput, "gateway-output");
         reader.setDaemon(true);
@@ -64,18 +68,20 @@
         }
     }
 
-    InetSocketAddress address() {
+    /** Where clients connect. */
+    public InetSocketAddress address() {
         return address;
     }
 
-    String output() {
+    /** What the process has printed so far. */
+    public String output() {
         synchronized (lines) {
             return String.join("\n", lines);
         }
     }
 
     /** Sends a signal by its name, without SIG. */
-    void signal(String name) throws IOException, InterruptedException {
+    public void signal(String name) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
@@ -85,18 +91,33 @@
                 .waitFor();
     }
 
+    /** The most memory that the process had resident so far, in KB; 0 once it has ended. */
+    public long peakKilobytes() throws IOException {
+        Path status = Path.of("/proc/" + process.pid() + "/status");
+        if (!isAlive()) {
+            return 0;
+        }
+        for (String line : Files.readAllLines(status)) {
+            if (line.startsWith("VmHWM:")) {
+                return Long.parseLong(line.replaceAll("[^0-9]", ""));
+            }
+        }
+        return 0;
+    }
+
     /** The number of open descriptors; 0 once the process has ended. */
     int openFiles() {
         String[] descriptors = Path.of("/proc/" + process.pid() + "/fd").toFile().list();
         return descriptors == null ? 0 : descriptors.length;
     }
 
-    boolean isAlive() {
+    /** Whether the process runs. */
+    public boolean isAlive() {
         return process.isAlive();
     }
 
     /** Waits until the process ends, and kills it at the given System.nanoTime(). Returns whether it was killed. */
-    boolean awaitEndOrKill(long killAt) throws InterruptedException {
+    public boolean awaitEndOrKill(long killAt) throws InterruptedException {
         boolean ended = process.waitFor(Math.max(0, killAt - System.nanoTime()), TimeUnit.NANOSECONDS);
         if (!ended) {
             process.destroyForcibly().waitFor();
@@ -115,8 +136,15 @@
                 .sum();
     }
 
+    /** The counters printed at the end of a shutdown, by name; empty where they were not printed. */
+    public Map<String, Long> finalCounterValues() {
+        Map<String, Long> values = new TreeMap<>();
+        finalCounters().forEach(c -> values.put(c.group(1), Long.parseLong(c.group(2))));
+        return values;
+    }
+
     /** The counters of broken invariants and lost messages that are not 0, as they were printed. */
-    List<String> brokenInvariants() {
+    public List<String> brokenInvariants() {
         return finalCounters().stream().filter(c -> !c.group(2).equals("0"))
                 .filter(c -> c.group(1).startsWith("broken.") || c.group(1).equals("client.closed.owing")
                         || c.group(1).equals("client.discarded") || c.group(1).equals("client.failed")
--- a/lab/src/main/java/reedquay/lab/soak/SoakRun.java
+++ b/lab/src/main/java/reedquay/lab/soak/SoakRun.java
@@ -52,7 +52,7 @@
 
     Result run(Path configTemplate) throws IOException, InterruptedException {
         Path config = writeConfig(configTemplate);
-        gateway = new GatewayProcess(jar, config, faults);
+        gateway = new GatewayProcess(jar, config, faults.variables());
         SoakClients clients = new SoakClients(plan, arrivals);
         List<SoakRequest> requests;
         try {
@@ -204,7 +204,7 @@
 
     private Void restart(Path config, int secondSignalMillis) throws IOException, InterruptedException {
         stopGateway(secondSignalMillis);
-        gateway = new GatewayProcess(jar, config, faults);
+        gateway = new GatewayProcess(jar, config, faults.variables());
         return null;
     }
 
