--- a/lab/src/main/java/reedquay/lab/flood/UsualClients.java
+++ b/lab/src/main/java/reedquay/lab/flood/UsualClients.java
@@ -36,8 +36,10 @@
     final AtomicInteger failed = new AtomicInteger();
     final AtomicInteger late = new AtomicInteger();
     final AtomicInteger lost = new AtomicInteger();
-    /** Connections that ended without an answer to a request; its client sends it again elsewhere. */
+    /** Connections that ended without an answer to a request; its client sends it once more on a new one. */
     final AtomicInteger closed = new AtomicInteger();
+    /** Requests whose second connection ended too. */
+    final AtomicInteger closedTwice = new AtomicInteger();
     private volatile boolean over;
 
     UsualClients(InetSocketAddress address, int clients) {
@@ -52,7 +54,7 @@
     }
 
     int requests() {
-        return served.get() + pushedBack.get() + failed.get() + lost.get() + closed.get();
+        return served.get() + pushedBack.get() + failed.get() + lost.get() + closedTwice.get();
     }
 
     /** The latency in milliseconds below which this share of the answers came, in percent. */
@@ -71,15 +73,20 @@
         SplittableRandom random = new SplittableRandom(number);
         Socket socket = null;
         while (!over) {
-            try {
-                socket = socket != null ? socket : connect();
-                request(socket);
-            } catch (SocketTimeoutException e) {
-                lost.incrementAndGet();
-                socket = close(socket);
-            } catch (IOException e) {
-                closed.incrementAndGet();
-                socket = close(socket);
+            long id = nextId.incrementAndGet();
+            for (int attempt = 0; attempt < 2; attempt++) {
+                try {
+                    socket = socket != null ? socket : connect();
+                    request(socket, id);
+                    break;
+                } catch (SocketTimeoutException e) {
+                    lost.incrementAndGet();
+                    socket = close(socket);
+                    break;
+                } catch (IOException e) {
+                    (attempt == 0 ? closed : closedTwice).incrementAndGet();
+                    socket = close(socket);
+                }
             }
             sleep(REST_MILLIS + random.nextInt(REST_MILLIS));
         }
@@ -99,8 +106,7 @@
         socket.getOutputStream().write(ByteBufUtil.getBytes(message));
     }
 
-    private void request(Socket socket) throws IOException {
-        long id = nextId.incrementAndGet();
+    private void request(Socket socket, long id) throws IOException {
         write(socket, Messages.query(Unpooled.buffer(), "/* id=" + Long.toHexString(id) + ",c=history,t=acme,d="
                 + DEADLINE_MILLIS + ",cluster=1 */ SELECT data FROM facts WHERE code = 'u" + id % 100 + "'"));
         long sentAt = System.nanoTime();
