Keep a client's input as bytes, read it to its end, and serve clients in fair turns

Callers saw late and lost answers while another client sent short messages at full speed, a gateway that ended by itself (out of heap on its event loop, status 0), and requests that were sent on up to a second after their clients had left. Cause: all input of a client was decoded as soon as it was read, a heap object for each message, in one turn of the event loop; 64 KiB hold 13,000 messages. The only brake was to stop reading at a number of bytes, and behind input that is not read a client's end cannot be noticed. Evidence: 1.2 to 1.4 million pg.Frame (29 to 33 MB of 48) at the failure; turns of the loop of up to 1,763 ms; reads sent on 160 to 310 ms after the close with 500 and 20,000 commands, none with one command. Change: ClientInput keeps the bytes and hands out one message at a time; loop.FlowScheduler divides the loop's time by deficit round robin on measured time, clients that need less than their share first; a turn serves for 5 ms and then the sockets are polled again. What may not wait for want of memory is read and only counted (RefusedMessages), and pushed back in its turn. A call-out begins only after its client's socket was read to its end; a client that sends without end has its statement pushed back after 50 ms. Answers of one turn share a buffer; kept statements have buffers of their size. Counters client.heldback.REASON, a log line for clients held back, SHOW sessions.

--- a/src/main/java/reedquay/core/CallOut.java
+++ b/src/main/java/reedquay/core/CallOut.java
@@ -8,6 +8,8 @@
     public long sentAt;
     /** Whether its outcome is known. */
     public boolean ended;
+    /** Set by the front: it has been written to a member, and no outcome proves that the member did not run it. */
+    public boolean mayHaveRun;
     /**
      * Set by the front while the call-out waits for a connection: it has not been sent, and will not be without
      * {@link RoutingActions#proceed}.
--- a/src/main/java/reedquay/memory/UnfinishedInput.java
+++ b/src/main/java/reedquay/memory/BufferReservations.java
@@ -4,16 +4,16 @@
 import java.util.Map;
 
 /**
- * Account of the memory that incomplete messages reserve, and the decision which of them to reject while that is too
- * much. What counts is the capacity of the buffers and not the bytes received, since a buffer is larger than its
- * content and is reserved until it is released. An owner is whatever receives a message: a client's session or a
- * connection to a member. Not thread-safe.
+ * Account of the memory that buffers of one use reserve, such as incomplete messages or answers that are not read, and
+ * the decision which owner has to give its buffer up while that is too much. What counts is the capacity of the buffers
+ * and not the bytes in them, since a buffer is larger than its content and is reserved until it is released. An owner
+ * is whatever fills a buffer: a client's session or a connection to a member. Not thread-safe.
  */
-public final class UnfinishedInput<O> {
-    /** What one owner's message reserves; since: when the message began, on any clock that does not go back. */
+public final class BufferReservations<O> {
+    /** What one owner's buffer reserves; since: when it began to fill, on any clock that does not go back. */
     private record Reservation(long bytes, long since) {
-        /** Whether this one is rejected before the other: it costs more, or about as much and is older. */
-        boolean isRejectedBefore(Reservation other) {
+        /** Whether this one is released before the other: it costs more, or about as much and is older. */
+        boolean isReleasedBefore(Reservation other) {
             return magnitude() > other.magnitude() || magnitude() == other.magnitude() && since < other.since;
         }
 
@@ -27,14 +27,14 @@
     private final Map<O, Reservation> reservations = new HashMap<>();
     private long totalBytes;
 
-    /** maxBytes: how much all incomplete messages together may reserve. */
-    public UnfinishedInput(long maxBytes) {
+    /** maxBytes: how much all owners together may reserve. */
+    public BufferReservations(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
     /**
-     * Sets what the owner's incomplete message reserves, 0 for none. since: when that message began; ignored while the
-     * owner already has one.
+     * Sets what the owner reserves, 0 for nothing. since: when its buffer began to fill; ignored while the owner
+     * already reserves something.
      */
     public void setReserved(O owner, long bytes, long since) {
         Reservation previous = bytes == 0 ? reservations.remove(owner) : reservations.get(owner);
@@ -44,22 +44,22 @@
         totalBytes += bytes - (previous == null ? 0 : previous.bytes);
     }
 
-    /** The bytes that all incomplete messages reserve. */
+    /** The bytes that all owners reserve. */
     public long totalBytes() {
         return totalBytes;
     }
 
     /**
-     * The owner whose message is to be rejected now, null while the limit is kept: the one that reserves most, and
-     * of several alike the one whose message began first, since a message that is still arriving is usually young.
+     * The owner that has to give its buffer up now, null while the limit is kept: the one that reserves most, and of
+     * several alike the one that began first, since what is still moving is usually young.
      */
-    public O ownerToReject() {
+    public O ownerToRelease() {
         if (totalBytes <= maxBytes) {
             return null;
         }
         Map.Entry<O, Reservation> first = null;
         for (Map.Entry<O, Reservation> entry : reservations.entrySet()) {
-            if (first == null || entry.getValue().isRejectedBefore(first.getValue())) {
+            if (first == null || entry.getValue().isReleasedBefore(first.getValue())) {
                 first = entry;
             }
         }
--- a/src/main/java/reedquay/memory/StatementMemory.java
+++ b/src/main/java/reedquay/memory/StatementMemory.java
@@ -52,22 +52,23 @@
         account.computeIfPresent(key, (k, held) -> held == bytes ? null : held - bytes);
     }
 
-    /** Takes memory for a message that waits behind another; false, and nothing taken, where the rule forbids it. */
-    public boolean tryQueue(long bytes) {
-        if (queuedBytes + bytes > maxBytes - totalBytes - bytes) {
-            return false;
-        }
-        queue(bytes);
-        return true;
+    /**
+     * Whether messages of a client that wait behind another one of it may take some more bytes; clientBytes: what they
+     * have taken before. A client may have as much as all that wait could still add.
+     */
+    public boolean mayQueue(long clientBytes, long bytes) {
+        long free = maxBytes - totalBytes - bytes;
+        long allQueuedBytes = queuedBytes + bytes;
+        return allQueuedBytes <= free && clientBytes + bytes <= free - allQueuedBytes;
     }
 
-    /** Takes memory for a message that waits and whose content has been dropped, whatever is free. */
+    /** Takes memory for messages that wait, whatever is free. */
     public void queue(long bytes) {
         queuedBytes += bytes;
         totalBytes += bytes;
     }
 
-    /** Returns what tryQueue or queue has taken. */
+    /** Returns what queue has taken. */
     public void releaseQueued(long bytes) {
         queuedBytes -= bytes;
         totalBytes -= bytes;
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -5,37 +5,52 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.CorruptedFrameException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import reedquay.core.Method;
 import reedquay.core.Rpc;
+import reedquay.pg.ClientInput;
 import reedquay.pg.Frame;
-import reedquay.pg.FrameDecoder;
 import reedquay.pg.Messages;
 
-/** One client's connection: handles its messages in order and has at most one RPC in flight. Times in nanoseconds. */
+/**
+ * One client's connection: handles its messages in order and has at most one RPC in flight. What arrives is kept as
+ * bytes; messages are handled when SessionWork serves the session. Times in nanoseconds.
+ */
 final class ClientSession extends ChannelInboundHandlerAdapter implements InputOwner {
     /**
-     * The states of a session. AWAITING_READINESS: an empty query waits until the gateway is ready; IN_FLIGHT: an RPC
-     * is in flight; SKIPPING_TO_SYNC: after an extended-query message, all messages up to the Sync are skipped.
+     * The states of a session. AWAITING_READINESS: an empty query waits until the gateway is ready; CATCHING_UP: a
+     * statement waits until all that its client has sent is read, so that the client's end would be known; IN_FLIGHT:
+     * an RPC is in flight; SKIPPING_TO_SYNC: after an extended-query message, all messages up to the Sync are skipped.
      */
-    private enum State { STARTUP, IDLE, AWAITING_READINESS, IN_FLIGHT, SKIPPING_TO_SYNC, CLOSING }
+    private enum State { STARTUP, IDLE, AWAITING_READINESS, CATCHING_UP, IN_FLIGHT, SKIPPING_TO_SYNC, CLOSING }
 
-    /** How many messages of one client are handled before other clients are served. */
-    private static final int MAX_MESSAGES_BEFORE_YIELD = 16;
+    /** Whether a client is still there; UNKNOWN: more of its input is unread than can be read now. */
+    enum Presence { CONNECTED, LEFT, UNKNOWN }
+
+    private static final int MAX_COMMAND_LENGTH = 64; // of what the gateway answers itself
+    private static final Pattern STATEMENT_END = Pattern.compile("[;\\s]+$");
+    private static final Pattern SHOW = Pattern.compile("SHOW [A-Z]+");
+    private static final Pattern SETTING = Pattern.compile("(SET|RESET|DISCARD)( .*)?");
     private static final long DEPARTURE_CHECK_NANOS = 1_000_000; // more than one pass of the event loop
+    private static final long MAX_CATCH_UP_NANOS = 50_000_000; // half the time in which a client's end must be noticed
+    private static final long MIN_HELD_BACK_NANOS = 20_000_000; // with work left, until that is worth a note
+    private static final long NONE_LEFT = Long.MIN_VALUE;
+    private static final int MAX_READS_FOR_PRESENCE = 16;
+    private static final int MAX_UNSERVED_BYTES = 4096; // that wait only for the event loop, before reading is paused
+    private static final int MAX_MESSAGES_AT_ABANDON = 2_000;
 
-    final FrameDecoder decoder = FrameDecoder.forClient(Limits.MAX_MESSAGE_BYTES);
     private final Gateway gateway;
     private final Dispatcher dispatcher;
-    private final MessageQueue queued;
+    private final ClientInput input = new ClientInput(Limits.MAX_MESSAGE_BYTES);
+    private ClientOutput output;
     private State state = State.STARTUP;
     private Channel channel;
     private Rpc rpc;
@@ -47,9 +62,17 @@
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
-    private int accountedBytes; // what an incomplete message reserves, as last reported
-    private int messagesSinceYield;
-    private boolean resumeScheduled;
+    private int queuedBytes; // what waiting messages take, as last accounted for
+    private int unfinishedBytes; // what an incomplete message reserves, as last accounted for
+    private int bytesInRead; // received by the read of the socket that is running
+    private boolean lastReadWasFull; // so that the socket may hold more
+    private boolean lastReadWasEmpty;
+    private boolean behind; // the socket may hold more, which is read when the session is served
+    private long discardedBytes; // after a fatal error
+    private long catchingUpSince;
+    private HeldBack heldBack; // null while it is not
+    private long workLeftSince = NONE_LEFT; // since then the event loop's time was never enough
+    private long servedNanos; // the event loop's time that it has had
     private Map<String, String> startupParameters; // null where no client identifier is configured
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
@@ -58,16 +81,15 @@
     private long backlogWait;
     private boolean departureCheckScheduled;
     private boolean departureChecked; // after a wait it is known that the client has not closed meanwhile
-    private boolean reading; // input that has been received is being decoded, so that more messages may follow
 
     ClientSession(Gateway gateway, Dispatcher dispatcher) {
         this.gateway = gateway;
         this.dispatcher = dispatcher;
-        queued = new MessageQueue(dispatcher.limits.statementMemory);
     }
 
     @Override public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        output = new ClientOutput(channel);
     }
 
     @Override public void channelActive(ChannelHandlerContext ctx) {
@@ -80,81 +102,231 @@
         gateway.sessionOpened(this);
     }
 
+    // ---- Input ----
+
     @Override public void channelRead(ChannelHandlerContext ctx, Object message) {
         dispatcher.workBegins();
-        Frame frame = (Frame) message;
-        reading = true;
-        if (state != State.STARTUP) {
-            lastProgressAt = gateway.lastSweepAt();
+        ByteBuf bytes = (ByteBuf) message;
+        bytesInRead += bytes.readableBytes();
+        lastReadWasFull = !bytes.isWritable();
+        if (state == State.CLOSING || inputError != null) {
+            discard(bytes);
+            return;
+        }
+        try {
+            if (isBlocked() && !input.isRefusing() && !mayQueue(bytes.readableBytes())) {
+                input.refuseFurther();
+                updateHeldBack(false);
+            }
+            input.add(bytes.retain());
+        } catch (CorruptedFrameException e) {
+            rejectInput("what is no message, or one of an impossible length");
+        } finally {
+            bytes.release();
+        }
+    }
+
+    private boolean mayQueue(int bytes) {
+        int reserved = input.reservedBytesWith(bytes);
+        return reserved <= Limits.MAX_QUEUED_BYTES
+                && dispatcher.limits.statementMemory.mayQueue(queuedBytes, reserved - queuedBytes);
+    }
+
+    /** Releases what a client still sends after its last message; closes the connection where that does not end. */
+    private void discard(ByteBuf bytes) {
+        discardedBytes += bytes.readableBytes();
+        if (closeReason != null && closeReason.requiresAllAnswered) {
+            input.add(bytes);
+            discardWaiting();
+            return;
+        }
+        bytes.release();
+        if (state == State.CLOSING && discardedBytes > Limits.MAX_MESSAGE_BYTES) {
+            channel.close();
         }
-        queued.add(frame);
-        processQueue();
-        queued.accountNewest();
     }
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-        reading = false;
-        closeIfDrained();
-        closeIfAbandoned();
-        ctx.flush();
-        accountUnfinishedInput();
+        lastReadWasEmpty = bytesInRead == 0;
+        behind = !lastReadWasEmpty && lastReadWasFull;
+        bytesInRead = 0;
+        if (!isBlocked()) {
+            input.keepAgain();
+        }
+        accountInput();
+        workChanged();
     }
 
-    /** Accounts for the buffer that the decoder holds now; a session that is not registered has none. */
-    private void accountUnfinishedInput() {
-        if (decoder.reservedBytes() != accountedBytes) {
-            accountedBytes = decoder.reservedBytes();
-            dispatcher.setUnfinishedInput(this, accountedBytes);
+    /** Accounts for what the client's input takes of the memory. */
+    private void accountInput() {
+        int reserved = input.reservedBytes();
+        boolean waits = input.hasMessage();
+        int queued = waits ? reserved : 0;
+        if (queued > queuedBytes) {
+            dispatcher.limits.statementMemory.queue(queued - queuedBytes);
+        } else if (queued < queuedBytes) {
+            dispatcher.limits.statementMemory.releaseQueued(queuedBytes - queued);
+        }
+        queuedBytes = queued;
+        int unfinished = waits ? 0 : reserved;
+        if (unfinished != unfinishedBytes) {
+            unfinishedBytes = unfinished;
+            dispatcher.setUnfinishedInput(this, unfinished);
         }
     }
 
     @Override public void rejectUnfinishedInput() {
         dispatcher.counters.add("client.closed.partial");
-        accountedBytes = 0;
-        decoder.discardInput(); // also where the session closes already
+        unfinishedBytes = 0;
+        input.discardFurther(); // also where the session closes already
         rejectInput("a message begun while memory is short");
     }
 
     @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        processQueue();
+        workChanged();
+    }
+
+    // ---- Work ----
+
+    /** Whether the next message has to wait. */
+    private boolean isBlocked() {
+        boolean isRead = output.isWritable() || abandonReason != null;
+        return !departureChecked || isAwaitingOutcome() || !isRead;
+    }
+
+    private boolean isAwaitingOutcome() {
+        return state == State.IN_FLIGHT || state == State.CATCHING_UP || state == State.AWAITING_READINESS;
+    }
+
+    private boolean canHandleMessage() {
+        boolean hasMessage = input.hasMessage() || input.refusedMessages() > 0 || input.isTerminated();
+        return state != State.CLOSING && !isBlocked() && (hasMessage || inputError != null);
+    }
+
+    /** Whether reading on is of use: not for a client that reads no answers, unless its end has to be noticed. */
+    private boolean mayRead() {
+        return output.isWritable() || isAwaitingOutcome();
+    }
+
+    private boolean canReadOn() {
+        return behind && state != State.CLOSING && mayRead();
+    }
+
+    private boolean hasWork() {
+        return canHandleMessage() || state == State.CATCHING_UP || canReadOn();
     }
 
-    /** Handles queued messages until an RPC is in flight, the client stops reading, or others are to be served. */
-    private void processQueue() {
+    /** The session may have work now, or none any more. */
+    private void workChanged() {
         if (!departureChecked) {
             checkDeparture();
-            return;
         }
-        while (!queued.isEmpty() && state != State.IN_FLIGHT && state != State.AWAITING_READINESS
-                && (channel.isWritable() || abandonReason != null || state == State.CLOSING)) {
-            // hundreds of commands at once must not delay other clients
-            if (++messagesSinceYield > MAX_MESSAGES_BEFORE_YIELD) {
-                if (!resumeScheduled) {
-                    resumeScheduled = true;
-                    channel.eventLoop().execute(this::resumeAfterYield);
+        if (hasWork()) {
+            gateway.work.activate(this);
+        } else {
+            workDone();
+            if (heldBack != null) {
+                updateHeldBack(false);
+            }
+        }
+        updateReading();
+    }
+
+    /** What follows once all that can be handled now is. */
+    private void workDone() {
+        closeIfDrained();
+        closeIfAbandoned();
+        if (state != State.CLOSING) {
+            gateway.setIdle(this, state == State.IDLE && !input.hasMessage() && input.refusedMessages() == 0);
+        }
+    }
+
+    /** Handles messages, and reads on where none is left, for the given time at most; returns whether work is left. */
+    boolean serve(long start, long allowance) {
+        long now = start;
+        try {
+            while (now - start < allowance && channel.isActive() && hasWork()) {
+                if (canHandleMessage()) {
+                    handleNext();
+                } else {
+                    readOn();
                 }
-                gateway.setIdle(this, false);
-                return;
+                output.flushIfLarge();
+                now = System.nanoTime();
             }
-            gateway.setIdle(this, false); // before any callback of this message can look for a session to close
-            Frame frame = queued.poll();
+        } catch (Throwable e) { // a failure of one session must not affect the others
+            failed(e);
+        }
+        servedNanos += now - start;
+        output.flush();
+        boolean workIsLeft = channel.isActive() && hasWork();
+        if (channel.isActive()) {
+            accountInput();
+            noteWorkLeft(workIsLeft, now);
+            workChanged();
+        }
+        return workIsLeft;
+    }
+
+    private void readOn() {
+        if (canReadOn()) {
+            SocketInput.readNow(channel);
+        }
+        catchUp();
+    }
+
+    private void handleNext() {
+        gateway.setIdle(this, false); // before any callback of this message can look for a session to close
+        Frame frame;
+        try {
+            frame = input.next();
+        } catch (CorruptedFrameException e) {
+            rejectInput("what is no message, or one of an impossible length");
+            return;
+        }
+        if (frame != null) {
+            lastProgressAt = gateway.lastSweepAt();
             try {
                 handle(frame);
             } finally {
                 frame.release();
             }
-        }
-        boolean allAnswered = queued.isEmpty() && state != State.IN_FLIGHT && state != State.AWAITING_READINESS;
-        if (allAnswered && inputError != null && state != State.CLOSING) {
+            input.keepAgain();
+        } else if (input.refusedMessages() > 0) {
+            input.refusedAnswered();
+            refuseForMemory();
+        } else if (input.isTerminated()) {
+            closeAfterFlush(CloseReason.TERMINATE);
+        } else if (inputError != null) {
             sendFatalError("08P01", inputError);
         }
-        if (state == State.CLOSING) {
-            return; // further input is discarded
+    }
+
+    /** Reading is paused while more waits than can be handled; it goes on when the session is served. */
+    private void updateReading() {
+        if (state != State.CLOSING) {
+            boolean hasEnough = input.bytes() >= MAX_UNSERVED_BYTES && canHandleMessage();
+            channel.config().setAutoRead(!behind && !hasEnough && mayRead());
+        }
+    }
+
+    /** Notes whether work was left when the session was last served. */
+    private void noteWorkLeft(boolean workIsLeft, long now) {
+        if (!workIsLeft) {
+            workLeftSince = NONE_LEFT;
+        } else if (workLeftSince == NONE_LEFT) {
+            workLeftSince = now;
+        }
+        updateHeldBack(workIsLeft && now - workLeftSince >= MIN_HELD_BACK_NANOS);
+    }
+
+    private void updateHeldBack(boolean wantsMoreTime) {
+        HeldBack reason = input.isRefusing() ? HeldBack.MEMORY : wantsMoreTime ? HeldBack.TIME
+                : !output.isWritable() ? HeldBack.UNREAD : input.hasPartialMessage() ? HeldBack.INCOMPLETE : null;
+        if (reason != heldBack && state != State.CLOSING) {
+            heldBack = reason;
+            gateway.heldBackChanged(this, reason);
         }
-        // reading is paused for a client that pipelines too much or reads no answers
-        channel.config().setAutoRead(queued.bytes() <= dispatcher.limits.maxQueuedBytes);
-        closeIfDrained();
-        gateway.setIdle(this, state == State.IDLE && queued.isEmpty());
     }
 
     /**
@@ -162,7 +334,7 @@
      * happen when its connection waited to be accepted until after its end: the statement is read first, the end later.
      */
     private void checkDeparture() {
-        if (!queued.isEmpty() && !departureCheckScheduled) {
+        if ((input.bytes() > 0 || inputError != null) && !departureCheckScheduled) {
             departureCheckScheduled = true;
             channel.eventLoop().schedule(() -> {
                 SocketInput.readNow(channel); // the end may stand behind more input, and neither be read yet
@@ -174,12 +346,6 @@
         }
     }
 
-    private void resumeAfterYield() {
-        resumeScheduled = false;
-        messagesSinceYield = 0;
-        resume();
-    }
-
     /**
      * Closes a connection that holds resources without use: a client that sends nothing, one whose message never ends,
      * and one that still sends after a fatal error. lingerTimeout: how long the last of these may go on sending.
@@ -191,22 +357,43 @@
                 closing(CloseReason.LINGER);
                 channel.close();
             }
-        } else if (state != State.STARTUP && !decoder.hasPartialMessage() || !channel.config().isAutoRead()) {
+        } else if (state != State.STARTUP && !input.hasPartialMessage() || !channel.config().isAutoRead()) {
             lastProgressAt = now;
         } else if (now - lastProgressAt >= Limits.UNUSED_TIMEOUT_NANOS) {
-            if (decoder.hasPartialMessage()) {
+            if (input.hasPartialMessage()) {
                 rejectInput("a message that does not end");
             } else {
                 closing(CloseReason.SILENT);
                 channel.close();
             }
+        } else if (heldBack == null && input.hasPartialMessage()) {
+            updateHeldBack(false);
         }
     }
 
     /** The bytes of answers that are not written yet, since the client has not read the ones before. */
     long unreadOutputBytes() {
-        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
-        return unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+        return output.unreadBytes();
+    }
+
+    /** The bytes of messages that wait or are incomplete. */
+    int inputBytes() {
+        return input.reservedBytes();
+    }
+
+    /** The messages that were read and not kept, and are still to be answered. */
+    long refusedMessages() {
+        return input.refusedMessages();
+    }
+
+    /** The event loop's time that was spent on this client's messages. */
+    long servedNanos() {
+        return servedNanos;
+    }
+
+    /** Why the client is held back; null while it is not. */
+    HeldBack heldBack() {
+        return heldBack;
     }
 
     long connectedAt() {
@@ -218,11 +405,11 @@
      * of a message after the startup. Such a session is never closed to free resources.
      */
     boolean owesAnswer() {
-        return hasUnansweredMessage() || reading || state != State.STARTUP && decoder.bufferedBytes() > 0;
+        return hasUnansweredMessage() || state != State.STARTUP && input.hasPartialMessage();
     }
 
     private boolean hasUnansweredMessage() {
-        return state == State.IN_FLIGHT || state == State.AWAITING_READINESS || !queued.isEmpty();
+        return isAwaitingOutcome() || state != State.CLOSING && (input.hasMessage() || input.refusedMessages() > 0);
     }
 
     /**
@@ -232,19 +419,13 @@
     void rejectInput(String error) {
         if (inputError == null && state != State.CLOSING) {
             inputError = error;
-            decoder.discardInput();
-            accountUnfinishedInput();
-            processQueue();
-            channel.flush();
+            input.discardFurther();
+            accountInput();
+            workChanged();
         }
     }
 
     private void handle(Frame frame) {
-        if (state == State.CLOSING) {
-            boolean owed = frame.type == 'Q' && closeReason != null && closeReason.requiresAllAnswered;
-            dispatcher.counters.add("client.discarded", owed ? 1 : 0);
-            return;
-        }
         if (frame.type == Frame.UNTYPED) {
             handleStartup(frame);
             return;
@@ -293,39 +474,43 @@
     }
 
     private void handleQuery(Frame frame) {
-        if (MessageQueue.isDropped(frame)) {
-            refuseForMemory();
-            return;
-        }
         if (frame.bodyStartsWith("/*")) { // the usual case
             startRpc(frame);
             return;
         }
         String text = frame.stringAt(0);
-        String command = text.length() > 64 ? "" : text.strip().replaceAll("[;\\s]+$", "").toUpperCase(Locale.ROOT);
-        if (command.isEmpty() && text.length() <= 64) {
-            state = State.AWAITING_READINESS;
-            gateway.whenReady(this::answerEmptyQuery);
+        boolean isShort = text.length() <= MAX_COMMAND_LENGTH;
+        String command = isShort ? STATEMENT_END.matcher(text.strip()).replaceAll("").toUpperCase(Locale.ROOT) : "";
+        if (command.isEmpty() && isShort) {
+            answerEmptyQueryWhenReady();
         } else if (command.equals("SHOW COUNTERS")) {
             sendCounters();
-        } else if (command.matches("SHOW [A-Z]+")
-                && gateway.showTable(command.substring(5).toLowerCase(Locale.ROOT)) != null) {
-            List<String[]> table = gateway.showTable(command.substring(5).toLowerCase(Locale.ROOT));
-            sendTable(table.subList(1, table.size()), table.get(0));
-        } else if (command.matches("(SET|RESET|DISCARD)( .*)?")) {
+        } else if (SETTING.matcher(command).matches()) {
             write(Messages.readyForQuery(Messages.commandComplete(buffer(), command.replaceAll(" .*", ""))));
         } else {
-            startRpc(frame);
+            List<String[]> table = SHOW.matcher(command).matches()
+                    ? gateway.showTable(command.substring(5).toLowerCase(Locale.ROOT)) : null;
+            if (table == null) {
+                startRpc(frame);
+            } else {
+                sendTable(table.subList(1, table.size()), table.get(0));
+            }
         }
     }
 
-    private void answerEmptyQuery() {
-        if (state == State.AWAITING_READINESS) {
-            state = State.IDLE;
+    private void answerEmptyQueryWhenReady() {
+        if (gateway.isReady()) {
             write(Messages.readyForQuery(Messages.emptyQueryResponse(buffer())));
-            processQueue();
-            channel.flush();
+            return;
         }
+        state = State.AWAITING_READINESS;
+        gateway.whenReady(() -> {
+            if (state == State.AWAITING_READINESS) {
+                state = State.IDLE;
+                write(Messages.readyForQuery(Messages.emptyQueryResponse(buffer())));
+                resume();
+            }
+        });
     }
 
     private void sendCounters() {
@@ -362,18 +547,44 @@
             write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "42601", e.getMessage(), null)));
             return;
         }
-        if (!dispatcher.limits.statementMemory.tryHold(parsed.group, parsed.tenant, MessageQueue.memoryCost(frame))) {
+        if (!dispatcher.limits.statementMemory.tryHold(parsed.group, parsed.tenant, parsed.memoryCost())) {
             refuseForMemory();
             return;
         }
-        frame.retain(); // released with the final answer
+        parsed.keepCopy(); // released with the final answer
         statement = parsed;
+        if (behind) {
+            state = State.CATCHING_UP;
+            catchingUpSince = dispatcher.clock.now();
+        } else {
+            submitRpc(backlogWait);
+        }
+    }
+
+    /** waited: for how long the statement may have waited since it could have been read. */
+    private void submitRpc(long waited) {
         state = State.IN_FLIGHT;
-        rpc = dispatcher.acceptRpc(this, statement, backlogWait, gateway.clientIdentifier());
+        rpc = dispatcher.acceptRpc(this, statement, waited, gateway.clientIdentifier());
         Rpc started = rpc;
         dispatcher.submitInput(engine -> engine.rpcArrived(started));
     }
 
+    /** Starts the statement that waits, once all that its client has sent is read; refuses it if that takes long. */
+    private void catchUp() {
+        if (state != State.CATCHING_UP || !channel.isActive()) {
+            return;
+        }
+        long waited = dispatcher.clock.now() - catchingUpSince;
+        if (!behind) {
+            submitRpc(waited);
+        } else if (waited >= MAX_CATCH_UP_NANOS) {
+            state = State.IDLE;
+            clearRpc();
+            dispatcher.counters.add(HeldBack.INPUT.counter());
+            write(pushback("more follows this statement than can be read now; trying again is harmless"));
+        }
+    }
+
     /** Answers a statement that memory is short for; nothing of it has run. */
     private void refuseForMemory() {
         if (abandonReason != null) {
@@ -381,20 +592,27 @@
             return;
         }
         dispatcher.counters.add("client.refused.memory");
-        write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "53300",
-                "no memory for this statement now; trying again is harmless",
-                Dispatcher.retryAfterMillis(dispatcher.settings().standardRetryAfter()))));
+        state = State.IDLE; // what was refused may have been the Sync that messages were skipped to
+        write(pushback("no memory for this statement now; trying again is harmless"));
+    }
+
+    private ByteBuf pushback(String message) {
+        return Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "53300", message,
+                Dispatcher.retryAfterMillis(dispatcher.settings().standardRetryAfter())));
     }
 
     /**
-     * Whether the client is still connected; reads the socket, where the client's end may be unread. The gateway may
-     * have been held up since it last read it.
+     * Whether the client is still connected. Reads the socket to its end, behind which the client's end would stand:
+     * the gateway may have been held up since it last read it.
      */
-    boolean isStillConnected() {
-        if (!reading && channel.config().isAutoRead()) { // else input is just being read, or may not be taken in now
+    Presence presence() {
+        for (int reads = 0; channel.isActive() && reads < MAX_READS_FOR_PRESENCE; reads++) {
             SocketInput.readNow(channel);
+            if (lastReadWasEmpty && channel.isActive()) {
+                return Presence.CONNECTED;
+            }
         }
-        return channel.isActive();
+        return channel.isActive() ? Presence.UNKNOWN : Presence.LEFT;
     }
 
     /** The id of the connection, unique among those that are open. */
@@ -410,6 +628,11 @@
         return clientAddress;
     }
 
+    /** The client's IP address and port, and the id of its connection. */
+    String address() {
+        return channel.remoteAddress() + " (" + connectionId() + ")";
+    }
+
     /** A parameter of the startup message; null where it has none of that name or parameters are not kept. */
     String startupParameter(String name) {
         return startupParameters == null ? null : startupParameters.get(name);
@@ -421,7 +644,7 @@
 
     /** Sends the final answer: the messages of the member, unchanged. */
     void sendResult(List<Frame> frames) {
-        frames.forEach(f -> channel.write(f.content().retain()));
+        output.append(frames);
         finishRpc(Messages.readyForQuery(buffer()));
     }
 
@@ -431,27 +654,27 @@
     }
 
     private void finishRpc(ByteBuf response) {
-        channel.writeAndFlush(response);
+        write(response);
+        output.flush();
         clearRpc();
         state = State.IDLE;
         // prevents an RPC from starting within the batch in which the previous one was answered
         dispatcher.runAfterBatch(this::resume);
     }
 
-    /** Handles queued messages again, or resumes reading. */
+    /** Handles messages that wait, or resumes reading. */
     void resume() {
         if (channel.isActive()) {
-            processQueue();
-            channel.flush();
+            output.flush();
+            workChanged();
         }
     }
 
     private void clearRpc() {
         rpc = null;
         if (statement != null) {
-            dispatcher.limits.statementMemory.release(statement.group, statement.tenant,
-                    MessageQueue.memoryCost(statement.frame));
-            statement.frame.release();
+            dispatcher.limits.statementMemory.release(statement.group, statement.tenant, statement.memoryCost());
+            statement.release();
             statement = null;
         }
     }
@@ -486,18 +709,21 @@
             dispatcher.abortUnanswered(rpc);
         } else if (state == State.IN_FLIGHT) { // it failed before it became an RPC
             sendError("58000", "the statement failed and may have run", null);
-        } else if (state == State.AWAITING_READINESS) {
+        } else if (isAwaitingOutcome()) {
             state = State.IDLE;
+            clearRpc();
             write(refusal());
         }
         departureChecked = true;
-        messagesSinceYield = Integer.MIN_VALUE; // there is no later turn
-        processQueue();
+        for (int i = 0; i < MAX_MESSAGES_AT_ABANDON && channel.isActive() && canHandleMessage(); i++) {
+            handleNext(); // there is no later turn
+            output.flushIfLarge();
+        }
         closeIfAbandoned();
     }
 
     private void closeIfAbandoned() {
-        if (abandonReason != null && !reading && state != State.CLOSING) {
+        if (abandonReason != null && state != State.CLOSING) {
             closeAfterFlush(abandonReason);
         }
     }
@@ -528,7 +754,24 @@
         state = State.CLOSING;
         channel.config().setAutoRead(false); // what is not read by now, the client can send again elsewhere
         lastProgressAt = dispatcher.clock.now();
-        channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
+        discardWaiting();
+        output.flushToSocket().addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Drops the messages that wait, and counts those that are owed an answer. */
+    private void discardWaiting() {
+        boolean isOwed = closeReason != null && closeReason.requiresAllAnswered;
+        long owed = input.refusedMessages();
+        try {
+            for (Frame frame = input.next(); frame != null; frame = input.next()) {
+                owed += frame.type == 'Q' ? 1 : 0;
+                frame.release();
+            }
+        } catch (CorruptedFrameException e) {
+            input.discardFurther();
+        }
+        dispatcher.counters.add("client.discarded", isOwed ? owed : 0);
+        accountInput();
     }
 
     /**
@@ -542,10 +785,11 @@
         dispatcher.logOnce("a client violated the protocol: " + message);
         state = State.CLOSING;
         lastProgressAt = dispatcher.clock.now();
-        decoder.discardInput();
-        accountUnfinishedInput();
+        input.clear();
+        accountInput();
         channel.config().setAutoRead(true);
-        channel.writeAndFlush(Messages.errorResponse(buffer(), "FATAL", code, message, null)).addListener(f -> {
+        write(Messages.errorResponse(buffer(), "FATAL", code, message, null));
+        output.flushToSocket().addListener(f -> {
             if (channel instanceof SocketChannel socket) {
                 socket.shutdownOutput();
             } else {
@@ -557,11 +801,12 @@
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         closing(CloseReason.CLIENT);
         state = State.CLOSING;
-        accountUnfinishedInput();
-        queued.clear();
-        if (rpc != null) {
-            Rpc abandoned = rpc;
-            clearRpc();
+        input.clear();
+        output.clear();
+        accountInput();
+        Rpc abandoned = rpc;
+        clearRpc();
+        if (abandoned != null) {
             dispatcher.clientDisconnected(abandoned);
         }
         if (registered) {
@@ -574,20 +819,23 @@
         if (cause instanceof java.io.IOException) {
             closing(CloseReason.BROKEN);
             ctx.close();
-        } else if (cause instanceof DecoderException) {
-            rejectInput("what is no message, or one of an impossible length");
         } else { // any other failure ends this session alone
-            dispatcher.counters.add("client.failed");
-            dispatcher.logOnce("a client session failed: " + cause);
-            abandon(CloseReason.FAILED);
+            failed(cause);
         }
     }
 
+    private void failed(Throwable cause) {
+        dispatcher.counters.add("client.failed");
+        dispatcher.logOnce("a client session failed: " + cause);
+        abandon(CloseReason.FAILED);
+    }
+
+    /** The buffer to which an answer is appended; write() ends the answer. */
     private ByteBuf buffer() {
-        return channel.alloc().buffer(128);
+        return output.buffer();
     }
 
     private void write(ByteBuf out) {
-        channel.write(out);
+        assert out == output.buffer() : "answers are appended to the session's output";
     }
 }
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -305,6 +305,7 @@
         counters.add("callout." + outcome);
         trace.callOutEnded(callOut, outcome, clock.now() - callOut.sentAt);
         callOut.ended = true;
+        callOut.mayHaveRun = !outcome.provesNeverRan;
         callOut.awaitingConnection = false;
         Rpc rpc = callOut.rpc;
         if (outcome == Outcome.OK && !rpc.ended) {
@@ -334,7 +335,7 @@
         callOut.frontState = request;
         counters.add("callout");
         callOut.awaitingConnection = true;
-        if (clientHasLeft(callOut.rpc)) {
+        if (endsForAbsence(callOut)) {
             requestFailed(request, Outcome.NEVER_SENT);
             return;
         }
@@ -346,7 +347,7 @@
         if (request.completed) {
             return;
         }
-        if (clientHasLeft(callOut.rpc)) {
+        if (endsForAbsence(callOut)) {
             request.pool.withdraw(request);
             requestFailed(request, Outcome.NEVER_SENT);
             return;
@@ -355,17 +356,44 @@
     }
 
     /**
-     * Ends the RPC if its client has left. Prevents call-outs for a client that has left, which happen when the
-     * engine's timers run before the event loop has read that client's end.
+     * Whether a call-out must not begin, since its client has left or may have; the RPC ends then. Prevents call-outs
+     * for a client that has left, which happen when the engine's timers run before the event loop has read that
+     * client's end, or that end stands behind more input than can be read.
      */
-    private boolean clientHasLeft(Rpc rpc) {
-        if (!rpc.ended && !((ClientSession) rpc.frontState).isStillConnected()) {
-            counters.add("rpc.clientgone.unread");
-            clientDisconnected(rpc);
-            departed.add(rpc);
-            submitInput(engine -> departed.remove(rpc)); // by then the engine has been told
+    private boolean endsForAbsence(CallOut callOut) {
+        Rpc rpc = callOut.rpc;
+        if (rpc.ended) {
+            return true;
+        }
+        ClientSession session = (ClientSession) rpc.frontState;
+        switch (session.presence()) {
+            case CONNECTED -> {
+                return false;
+            }
+            case LEFT -> {
+                counters.add("rpc.clientgone.unread");
+                clientDisconnected(rpc);
+            }
+            case UNKNOWN -> refuseUnread(callOut, session);
+        }
+        departed.add(rpc);
+        submitInput(engine -> departed.remove(rpc)); // by then the engine has been told
+        return true;
+    }
+
+    /** Ends an RPC whose client sends without end: it is pushed back if nothing of it can have run. */
+    private void refuseUnread(CallOut callOut, ClientSession session) {
+        Rpc rpc = callOut.rpc;
+        counters.add(HeldBack.INPUT.counter());
+        if (rpc.callOuts.stream().allMatch(other -> other == callOut || other.ended && !other.mayHaveRun)) {
+            recordFinalAnswer(rpc, "rpc.pushedback", false);
+            session.sendError("53300", "more follows this statement than can be read now; trying again is harmless",
+                    retryAfterMillis(settings.standardRetryAfter()));
+        } else {
+            recordFinalAnswer(rpc, "rpc.aborted", false);
+            sendAbort(rpc);
         }
-        return rpc.ended;
+        submitInput(engine -> engine.clientGone(rpc));
     }
 
     @Override public void cancel(CallOut callOut) {
@@ -543,8 +571,8 @@
      */
     void setUnfinishedInput(InputOwner owner, int reservedBytes) {
         limits.unfinishedInput.setReserved(owner, reservedBytes, clock.now());
-        for (InputOwner rejected = limits.unfinishedInput.ownerToReject(); rejected != null;
-                rejected = limits.unfinishedInput.ownerToReject()) {
+        for (InputOwner rejected = limits.unfinishedInput.ownerToRelease(); rejected != null;
+                rejected = limits.unfinishedInput.ownerToRelease()) {
             limits.unfinishedInput.setReserved(rejected, 0, 0);
             rejected.rejectUnfinishedInput();
         }
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -2,11 +2,13 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
@@ -14,8 +16,10 @@
 import java.nio.channels.spi.SelectorProvider;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -36,6 +40,12 @@
     private static final long BIND_TIMEOUT_NANOS = 2_000_000_000;
     private static final long BIND_RETRY_NANOS = 50_000_000;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
+    private static final int MIN_READ_BYTES = 2 * 1024; // of a client's socket in one turn
+    private static final int MAX_READ_BYTES = 16 * 1024;
+    /** The unread answers of a client beyond which no further message of it is handled. */
+    private static final int MAX_UNREAD_OUTPUT_BYTES = 16 * 1024;
+    private static final long HELD_BACK_LOG_INTERVAL_NANOS = 1_000_000_000;
+    private static final int MAX_LISTED_SESSIONS = 20;
 
     private final LoopMonitor loopMonitor = new LoopMonitor();
     private final NioEventLoopGroup group =
@@ -54,6 +64,9 @@
     private final Set<ClientSession> startedSessions = new LinkedHashSet<>(); // their startup message was received
     private final Set<ClientSession> unusedSessions = new LinkedHashSet<>(); // no message after the startup yet
     private final Set<ClientSession> idleSessions = new LinkedHashSet<>(); // between statements, longest idle first
+    /** The sessions that have messages to handle, or input to read on. */
+    final SessionWork work = new SessionWork(loop);
+    private long heldBackLoggedAt;
     private final List<Runnable> readinessCallbacks = new ArrayList<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final long startedAt;
@@ -97,6 +110,9 @@
         counters.gauge("member.open", limits::openMemberConnections);
         counters.gauge("client.heldbytes", limits.statementMemory::totalBytes);
         counters.gauge("client.partialbytes", limits.unfinishedInput::totalBytes);
+        for (HeldBack reason : HeldBack.values()) {
+            counters.add(reason.counter(), 0);
+        }
         counters.gauge("client.outputbytes", this::unreadOutputBytes);
         counters.gauge("memory.heap", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         loopMonitor.register(counters);
@@ -128,11 +144,15 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(
+                        MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES).maxMessagesPerRead(1))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(MAX_UNREAD_OUTPUT_BYTES / 2, MAX_UNREAD_OUTPUT_BYTES))
                 .handler(new AcceptHandler(new AcceptListener()))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override protected void initChannel(Channel channel) {
                         ClientSession session = new ClientSession(Gateway.this, dispatcher);
-                        channel.pipeline().addLast(session.decoder, session);
+                        channel.pipeline().addLast(session);
                     }
                 })
                 .bind(configuration.listen())
@@ -190,6 +210,10 @@
         return 8 * settings.capabilities().connectTimeout();
     }
 
+    boolean isReady() {
+        return ready;
+    }
+
     /** Runs the callback once the member list and the first probes' results have arrived, or startupTimeout is over. */
     void whenReady(Runnable callback) {
         if (ready) {
@@ -257,7 +281,9 @@
 
     /** The table for SHOW of that name, column names first; null where there is none. Called on the event loop. */
     List<String[]> showTable(String name) {
-        if (!name.equals("discovery")) {
+        if (name.equals("sessions")) {
+            return showSessions();
+        } else if (!name.equals("discovery")) {
             return dispatcher.showTable(name);
         }
         List<String[]> rows = new ArrayList<>(discovery.statusRows());
@@ -265,6 +291,21 @@
         return rows;
     }
 
+    /** The sessions that have used most of the event loop's time, those that are held back first. */
+    private List<String[]> showSessions() {
+        List<String[]> rows = new ArrayList<>();
+        rows.add(new String[] {"client", "held_back", "served_ms", "input_bytes", "refused", "unread_bytes"});
+        sessions.stream()
+                .sorted(Comparator.comparing((ClientSession session) -> session.heldBack() == null)
+                        .thenComparing(ClientSession::servedNanos, Comparator.reverseOrder()))
+                .limit(MAX_LISTED_SESSIONS)
+                .forEach(session -> rows.add(new String[] {session.address(),
+                    session.heldBack() == null ? "" : session.heldBack().name().toLowerCase(Locale.ROOT),
+                    Long.toString(session.servedNanos() / 1_000_000), Integer.toString(session.inputBytes()),
+                    Long.toString(session.refusedMessages()), Long.toString(session.unreadOutputBytes())}));
+        return rows;
+    }
+
     ClientIdentifier clientIdentifier() {
         return clientIdentifier;
     }
@@ -339,6 +380,7 @@
         startedSessions.remove(session);
         unusedSessions.remove(session);
         idleSessions.remove(session);
+        work.remove(session);
         limits.clientClosed();
         updateAccepting();
         if (stopping) {
@@ -351,6 +393,19 @@
         unusedSessions.remove(session);
     }
 
+    /** The session is held back for another reason than before; null: it is no longer. */
+    void heldBackChanged(ClientSession session, HeldBack reason) {
+        if (reason == null) {
+            return;
+        }
+        counters.add(reason.counter());
+        long now = clock.now();
+        if (reason != HeldBack.INCOMPLETE && now >= heldBackLoggedAt + HELD_BACK_LOG_INTERVAL_NANOS) {
+            heldBackLoggedAt = now;
+            dispatcher.log("client " + session.address() + " is held back: it " + reason.description);
+        }
+    }
+
     /** The time of the last sweep, for uses where the interval between sweeps is precise enough. */
     long lastSweepAt() {
         return lastSweepAt;
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -1,12 +1,13 @@
 package reedquay.net;
 
 import io.netty.util.internal.PlatformDependent;
+import reedquay.memory.BufferReservations;
 import reedquay.memory.StatementMemory;
-import reedquay.memory.UnfinishedInput;
 
 /** Limits on open connections and on memory for messages, derived from the configured limits, and the current use. */
 final class Limits {
     static final int MAX_MESSAGE_BYTES = 256 * 1024; // fits a statement with a value of 64 KiB in hex
+    static final int MAX_QUEUED_BYTES = 2 * MAX_MESSAGE_BYTES; // of one client's pipelined messages
     static final long UNUSED_TIMEOUT_NANOS = 2_000_000_000; // after this a connection without an open RPC may be closed
     private static final int RESERVED_DESCRIPTORS = 64; // for the process itself: jars, selectors, logs, discovery
 
@@ -15,24 +16,22 @@
     /** The same for sessions that sent their startup message: clients use a third of the descriptors for RPCs. */
     final int startedSessionsSoftLimit;
     final int maxMemberConnections;
-    final int maxQueuedBytes; // of one client's pipelined messages
     private int openClients;
     private int openMemberConnections;
     /** The memory that complete statements take until they are answered. */
     final StatementMemory statementMemory;
     /** The memory that incomplete messages reserve; what their senders never complete must not use up the rest. */
-    final UnfinishedInput<InputOwner> unfinishedInput;
+    final BufferReservations<InputOwner> unfinishedInput;
 
     Limits(int sockets, int memoryMb) {
         long maxHeldBytes = memoryMb * 1024L * 1024 / 8;
         statementMemory = new StatementMemory(maxHeldBytes);
-        unfinishedInput = new UnfinishedInput<>(Math.min(maxHeldBytes, PlatformDependent.maxDirectMemory() / 4));
+        unfinishedInput = new BufferReservations<>(Math.min(maxHeldBytes, PlatformDependent.maxDirectMemory() / 4));
         int available = Math.max(16, sockets - RESERVED_DESCRIPTORS);
         maxClients = available * 5 / 8;
         clientsSoftLimit = maxClients * 7 / 8;
         startedSessionsSoftLimit = Math.min(maxClients, sockets / 3) * 7 / 8;
         maxMemberConnections = available - maxClients;
-        maxQueuedBytes = (int) Math.min(2 * MAX_MESSAGE_BYTES, maxHeldBytes / maxClients);
     }
 
     /** Counts a new client connection; returns whether the soft limit is exceeded. */
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -94,6 +94,7 @@
         response = new Response();
         if (newRequest.callOut != null) {
             newRequest.callOut.awaitingConnection = false;
+            newRequest.callOut.mayHaveRun = true;
         }
         ByteBuf query = newRequest.callOut == null ? dispatcher.buildProbeQuery(channel.alloc())
                 : dispatcher.buildQuery(newRequest, channel.alloc());
--- a/src/main/java/reedquay/net/Statement.java
+++ b/src/main/java/reedquay/net/Statement.java
@@ -28,10 +28,11 @@
 
     private static final int MAX_NUMBER_DIGITS = 9; // as milliseconds to wait: eleven days
     private static final int MAX_COMMENT_BYTES = 1024;
+    private static final int OVERHEAD_BYTES = 128; // memory that a statement takes beyond its bytes
     private static final Pattern TOKEN = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     private static final List<String> WRITE_VERBS = List.of("INSERT", "UPDATE", "DELETE");
 
-    final Frame frame;
+    private Frame frame;
     final long id;
     final String method;
     final String tenant;
@@ -159,6 +160,21 @@
         }
     }
 
+    /** Keeps a copy of the statement's bytes in a buffer of their size, which has to be released. */
+    void keepCopy() {
+        frame = (Frame) frame.copy();
+    }
+
+    /** Releases the copy that keepCopy has made. */
+    void release() {
+        frame.release();
+    }
+
+    /** The bytes of memory that the statement takes. */
+    int memoryCost() {
+        return frame.content().readableBytes() + OVERHEAD_BYTES;
+    }
+
     /** Throws InvalidStatementException where the statement does not have the form that RPCs of this method have. */
     void validateFor(Method rpcMethod) throws InvalidStatementException {
         ByteBuf content = frame.content();
--- a/src/main/java/reedquay/pg/FrameDecoder.java
+++ b/src/main/java/reedquay/pg/FrameDecoder.java
@@ -11,8 +11,6 @@
  * CorruptedFrameException at an unknown type or an impossible length, and then discards all further input.
  */
 public final class FrameDecoder extends ByteToMessageDecoder {
-    private static final int MAX_UNTYPED_BYTES = 10_000; // PostgreSQL's own limit for a startup message
-
     /** Bytes of a DataRow before its first value: type, length, number of columns, length of the value. */
     private static final int ONE_COLUMN_ROW_HEADER_BYTES = 11;
 
@@ -34,7 +32,7 @@
 
     /** A decoder for what clients send. */
     public static FrameDecoder forClient(int maxMessageBytes) {
-        return new FrameDecoder(true, "QXPBDECHSFpdcf", maxMessageBytes);
+        return new FrameDecoder(true, MessageHeader.CLIENT_TYPES, maxMessageBytes);
     }
 
     /** A decoder for what servers send. */
@@ -79,19 +77,17 @@
             return;
         }
         int typeBytes = expectsUntyped ? 0 : 1;
-        if (in.readableBytes() < typeBytes + 4) {
-            return;
-        }
-        byte type = expectsUntyped ? Frame.UNTYPED : in.getByte(in.readerIndex());
-        int length = in.getInt(in.readerIndex() + typeBytes);
-        if (!expectsUntyped && allowedTypes.indexOf(type) < 0) {
+        int length;
+        try {
+            length = MessageHeader.length(in, in.readerIndex(), expectsUntyped, allowedTypes, maxMessageBytes);
+        } catch (CorruptedFrameException e) {
             discarding = true;
-            throw new CorruptedFrameException("no message has the type " + (type & 0xff));
+            throw e;
         }
-        if (length < (expectsUntyped ? 8 : 4) || length > (expectsUntyped ? MAX_UNTYPED_BYTES : maxMessageBytes)) {
-            discarding = true;
-            throw new CorruptedFrameException("a message cannot have the length " + length);
+        if (length == MessageHeader.INCOMPLETE) {
+            return;
         }
+        byte type = expectsUntyped ? Frame.UNTYPED : in.getByte(in.readerIndex());
         // checked early: there is no point in waiting for a value whose length already contradicts the message's length
         boolean oneColumnRow = type == 'D' && !expectsUntyped && in.readableBytes() >= ONE_COLUMN_ROW_HEADER_BYTES;
         if (oneColumnRow && in.getShort(in.readerIndex() + 5) == 1 && in.getInt(in.readerIndex() + 7) >= 0
