Never send on a statement whose id may have run for a client that has left

Callers saw a write run twice: its client left while it ran, and its id came again on another connection. Cause: with its client's end an RPC was forgotten at once, though its call-out may have run; while the end was not read yet, the second statement was refused for an id that is open. Change: PossiblyRunIds (route) remembers for 60 s, 8,192 at most, the ids of RPCs that may have run and are not idempotent; a statement with such an id is answered as failed (58000) and not sent on; counter rpc.repeated. A statement whose id is open has the socket of the first one's client read first. Beside a plain model: RememberedRpcsTest.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -541,6 +541,11 @@
             if (dispatcher.isInFlight(parsed.id)) {
                 throw new Statement.InvalidStatementException("the id is that of an RPC that is open");
             }
+            if (dispatcher.mayHaveRun(parsed.id, method)) {
+                write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "58000",
+                        "a statement with this id may have run already", null)));
+                return;
+            }
         } catch (Statement.InvalidStatementException e) {
             dispatcher.counters.add("client.unfit");
             dispatcher.logOnce("rejected a client's statement that cannot be routed: " + e.getMessage());
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -30,6 +30,7 @@
 import reedquay.core.SettingsReader;
 import reedquay.core.Stage;
 import reedquay.pg.Messages;
+import reedquay.route.PossiblyRunIds;
 import reedquay.time.UnixTimeEstimate;
 
 /**
@@ -40,6 +41,8 @@
 final class Dispatcher implements RoutingActions {
     private static final System.Logger LOG = System.getLogger("reedquay");
     private static final int MAX_DISTINCT_WARNINGS = 64;
+    private static final int MAX_REMEMBERED_IDS = 8_192;
+    private static final long REMEMBERED_ID_NANOS = 60_000_000_000L;
     /** How long after its deadline an RPC that the engine has not answered is answered as failed. */
     private static final long OVERDUE_NANOS = 100_000_000;
 
@@ -62,6 +65,7 @@
     private final ArrayDeque<Runnable> afterBatchTasks = new ArrayDeque<>();
     /** RPCs found to have lost their client within a batch; until the next one the engine may still answer them. */
     private final Set<Rpc> departed = new HashSet<>();
+    private final PossiblyRunIds possiblyRunIds = new PossiblyRunIds(MAX_REMEMBERED_IDS, REMEMBERED_ID_NANOS);
     private final ArrayDeque<MemberConnection> settling = new ArrayDeque<>(); // oldest response first
     private boolean inBatch;
     private boolean batchFailed; // since the last sweep: timers that were due may not have been handled
@@ -175,11 +179,32 @@
         afterBatchTasks.addLast(task);
     }
 
-    /** Whether an RPC of that id is still without its final answer. */
+    /** Whether an RPC of that id is still without its final answer, and its client has not left. */
     boolean isInFlight(long id) {
+        Rpc rpc = inFlightById.get(id);
+        if (rpc != null && ((ClientSession) rpc.frontState).presence() == ClientSession.Presence.LEFT) {
+            counters.add("rpc.clientgone.unread");
+            clientDisconnected(rpc);
+        }
         return inFlightById.containsKey(id);
     }
 
+    /** Whether an earlier RPC of that id may have run, and running it again is not harmless. */
+    boolean mayHaveRun(long id, Method method) {
+        boolean mayHaveRun = method.retrySafety() != Method.RetrySafety.IDEMPOTENT
+                && possiblyRunIds.contains(id, clock.now());
+        counters.add("rpc.repeated", mayHaveRun ? 1 : 0);
+        return mayHaveRun;
+    }
+
+    /** Remembers the id of an RPC that has ended, where it may have run and must not run again. */
+    private void rememberIfPossiblyRun(Rpc rpc) {
+        if (rpc.method.retrySafety() != Method.RetrySafety.IDEMPOTENT
+                && rpc.callOuts.stream().anyMatch(callOut -> callOut.mayHaveRun)) {
+            possiblyRunIds.add(rpc.id, clock.now());
+        }
+    }
+
     /** The method of that name; null where the settings have none. */
     Method method(String name) {
         return methods.get(name);
@@ -242,6 +267,7 @@
             rpc.ended = true;
             inFlight--;
             inFlightById.remove(rpc.id);
+            rememberIfPossiblyRun(rpc);
             counters.add("rpc.clientgone");
             trace.rpcEnded(rpc, "left by its client", "");
             submitInput(engine -> engine.clientGone(rpc));
@@ -322,6 +348,7 @@
         rpc.ended = true;
         inFlight--;
         inFlightById.remove(rpc.id);
+        rememberIfPossiblyRun(rpc);
         counters.add(counter);
         trace.rpcEnded(rpc, counter, byEngine && trace.enabled ? engine.explain(rpc) : "");
     }
--- /dev/null
+++ b/src/test/java/reedquay/route/RememberedRpcsTest.java
@@ -0,0 +1,37 @@
+package reedquay.route;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Tests what is remembered of RPCs after their end, each beside a plain model that forgets nothing. */
+class RememberedRpcsTest {
+    /** Prevents a second run of a write whose id comes again, and a heap that grows with each write. */
+    @Test void possiblyRunIdsAreKnownForTheirTimeAndBounded() {
+        SplittableRandom random = new SplittableRandom(48);
+        int maxIds = 50;
+        long duration = 400;
+        PossiblyRunIds ids = new PossiblyRunIds(maxIds, duration);
+        List<long[]> model = new ArrayList<>(); // id and time, oldest first
+        for (long now = 0; now < 100_000; now++) {
+            long time = now;
+            if (random.nextInt(now % 10_000 < 5_000 ? 3 : 30) == 0) {
+                long added = random.nextInt(200);
+                ids.add(added, now);
+                model.removeIf(entry -> entry[0] == added);
+                model.add(new long[] {added, now});
+                model.removeIf(entry -> time - entry[1] >= duration);
+                while (model.size() > maxIds) {
+                    model.remove(0);
+                }
+                assertEquals(model.size(), ids.size());
+            }
+            long asked = random.nextInt(200);
+            boolean isKnown = model.stream().anyMatch(e -> e[0] == asked && time - e[1] < duration);
+            assertEquals(isKnown, ids.contains(asked, now));
+        }
+    }
+}
