Close sessions that are held back before resting ones where descriptors are short

Callers saw resting connections closed for room, 150 to 212 times in 6 s, while 400 clients with half statements, or statements without end, kept theirs. Cause: only idle sessions could be closed for room; a session with an incomplete message or unread answers counted as one that a front end keeps, and was never a candidate. Change: sessions.SessionRegistry holds the sets of sessions, which Gateway had, and decides. Sessions that are held back are not counted among the started ones; where they are the greater part of all, the one held back longest gives way, its answers first. A session counts as started once what it sent with its startup message is handled.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -57,6 +57,7 @@
     private Statement statement;
     private boolean draining;
     private boolean registered;
+    private boolean startupUnreported; // the startup message was received, and more may wait behind it
     private boolean commandReceived; // a message was received after the startup
     private long connectedAt;
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
@@ -186,6 +187,12 @@
         workChanged();
     }
 
+    /** Closes the connection of a client that does not read its answers. */
+    void rejectUnreadOutput() {
+        closing(CloseReason.UNREAD);
+        channel.close();
+    }
+
     // ---- Work ----
 
     /** Whether the next message has to wait. */
@@ -236,6 +243,10 @@
     private void workDone() {
         closeIfDrained();
         closeIfAbandoned();
+        if (startupUnreported && state != State.CLOSING) {
+            startupUnreported = false;
+            gateway.startupReceived(this);
+        }
         if (state != State.CLOSING) {
             gateway.setIdle(this, state == State.IDLE && !input.hasMessage() && input.refusedMessages() == 0);
         }
@@ -467,7 +478,7 @@
                 }
                 state = State.IDLE;
                 startupParameters = gateway.clientIdentifier() == null ? null : frame.startupParameters();
-                gateway.startupReceived(this);
+                startupUnreported = true;
                 write(Messages.readyForQuery(Messages.startupResponse(buffer(), 1, 1)));
             }
         }
@@ -753,10 +764,21 @@
         dispatcher.sessionClosing(connectionId(), reason, rpc);
     }
 
+    /** Ends the session of a client that is held back, to free its descriptor; what it has sent is answered first. */
+    void closeHeldBack() {
+        dispatcher.counters.add("client.closed.heldback");
+        if (output.isWritable()) {
+            rejectInput("a session that is held back while descriptors are short");
+        } else {
+            rejectUnreadOutput();
+        }
+    }
+
     /** Closes the connection once all output is written. */
     void closeAfterFlush(CloseReason reason) {
         closing(reason);
         state = State.CLOSING;
+        gateway.sessionClosing(this);
         channel.config().setAutoRead(false); // what is not read by now, the client can send again elsewhere
         lastProgressAt = dispatcher.clock.now();
         discardWaiting();
@@ -789,6 +811,7 @@
         closing(CloseReason.MALFORMED);
         dispatcher.logOnce("a client violated the protocol: " + message);
         state = State.CLOSING;
+        gateway.sessionClosing(this);
         lastProgressAt = dispatcher.clock.now();
         input.clear();
         accountInput();
--- a/src/main/java/reedquay/net/CloseReason.java
+++ b/src/main/java/reedquay/net/CloseReason.java
@@ -18,6 +18,8 @@
     LINGER(false),
     /** Malformed input, or an incomplete message. */
     MALFORMED(false),
+    /** Unread answers, while memory is short. */
+    UNREAD(false),
     /** A failure inside the session. */
     FAILED(true),
     /** A read or write on the connection failed. */
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -17,11 +17,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -30,6 +28,7 @@
 import reedquay.core.Method;
 import reedquay.core.Settings;
 import reedquay.route.Router;
+import reedquay.sessions.SessionRegistry;
 
 /**
  * A running proxy: accepts clients, follows discovery and connects to members. It is built from a configuration,
@@ -60,10 +59,7 @@
     private final DiscoveryClient discovery;
     private final long idleTimeout;
     private final long sweepInterval;
-    private final Set<ClientSession> sessions = new LinkedHashSet<>();
-    private final Set<ClientSession> startedSessions = new LinkedHashSet<>(); // their startup message was received
-    private final Set<ClientSession> unusedSessions = new LinkedHashSet<>(); // no message after the startup yet
-    private final Set<ClientSession> idleSessions = new LinkedHashSet<>(); // between statements, longest idle first
+    private final SessionRegistry<ClientSession> sessions;
     /** The sessions that have messages to handle, or input to read on. */
     final SessionWork work = new SessionWork(loop);
     private long heldBackLoggedAt;
@@ -101,6 +97,8 @@
         Connector connector = new Connector(loop);
         dispatcher = new Dispatcher(loop, loopMonitor, connector, clock, limits, counters, configuration.settings(),
                 configuration.seed(), components.engineFactory());
+        sessions = new SessionRegistry<>(limits.clientsSoftLimit, limits.startedSessionsSoftLimit,
+                dispatcher.settings().capabilities().connectTimeout(), ClientSession::owesAnswer);
         discovery = new DiscoveryClient(dispatcher, connector, loop);
         discoveryAddress = configuration.discovery();
         long keepalive = configuration.settings().keepaliveTimeout();
@@ -121,7 +119,7 @@
 
     /** The bytes of answers that wait until their clients read them. */
     private long unreadOutputBytes() {
-        return sessions.stream().mapToLong(ClientSession::unreadOutputBytes).sum();
+        return sessions.open().stream().mapToLong(ClientSession::unreadOutputBytes).sum();
     }
 
     /** Starts to listen and to follow discovery; the future is the address that clients connect to. */
@@ -190,7 +188,7 @@
         dispatcher.runIsolated(discovery::closeSilentWatches);
         dispatcher.runIsolated(() -> checkReady(lastSweepAt));
         dispatcher.runIsolated(this::forgetOldPause);
-        for (ClientSession session : new ArrayList<>(sessions)) {
+        for (ClientSession session : new ArrayList<>(sessions.open())) {
             dispatcher.runIsolated(
                     () -> session.sweep(lastSweepAt, dispatcher.settings().capabilities().connectTimeout()));
         }
@@ -295,7 +293,7 @@
     private List<String[]> showSessions() {
         List<String[]> rows = new ArrayList<>();
         rows.add(new String[] {"client", "held_back", "served_ms", "input_bytes", "refused", "unread_bytes"});
-        sessions.stream()
+        sessions.open().stream()
                 .sorted(Comparator.comparing((ClientSession session) -> session.heldBack() == null)
                         .thenComparing(ClientSession::servedNanos, Comparator.reverseOrder()))
                 .limit(MAX_LISTED_SESSIONS)
@@ -314,18 +312,20 @@
 
     /** Registers a session, and closes another where the soft limit is exceeded. */
     void sessionOpened(ClientSession session) {
-        sessions.add(session);
-        unusedSessions.add(session);
-        if (limits.clientOpened()) {
-            ClientSession candidate = sessionToClose();
-            closeToFreeDescriptor(candidate != null ? candidate : firstClosable(unusedSessions), session);
-        }
+        sessions.opened(session);
+        limits.clientOpened();
+        closeToFreeDescriptor(sessions.toCloseForRoom(clock.now(), oldestUnusedAt()), session);
         updateAccepting();
     }
 
+    private long oldestUnusedAt() {
+        ClientSession oldest = sessions.oldestUnused();
+        return oldest == null ? 0 : oldest.connectedAt();
+    }
+
     /** The session has sent its startup message. */
     void startupReceived(ClientSession session) {
-        startedSessions.add(session);
+        sessions.startupReceived(session);
         closeExcessSessions(session);
     }
 
@@ -336,50 +336,34 @@
      */
     private void closeExcessSessions(ClientSession keep) {
         boolean closed = true;
-        while (closed && startedSessions.size() > limits.startedSessionsSoftLimit) {
-            closed = closeToFreeDescriptor(sessionToClose(), keep);
+        while (closed) {
+            closed = closeToFreeDescriptor(sessions.toCloseAmongStarted(clock.now(), oldestUnusedAt()), keep);
         }
     }
 
-    /**
-     * The oldest session that has sent no message for the length of the connect timeout, so that hundreds of silent
-     * clients cannot displace those that work; else the session that has been idle longest, null for none. A session
-     * that has just connected is neither: its first statement may not have been read yet, and it would reconnect.
-     */
-    private ClientSession sessionToClose() {
-        ClientSession oldest = firstClosable(unusedSessions);
-        boolean sentNothing = oldest != null
-                && clock.now() - oldest.connectedAt() >= dispatcher.settings().capabilities().connectTimeout();
-        return sentNothing ? oldest : firstClosable(idleSessions);
-    }
-
-    private static ClientSession firstClosable(Set<ClientSession> ordered) {
-        for (ClientSession session : ordered) {
-            if (!session.owesAnswer()) {
-                return session;
-            }
-        }
-        return null;
-    }
-
     /** Closes the session, unless it is null or the one to keep; returns whether it was closed. */
     private boolean closeToFreeDescriptor(ClientSession session, ClientSession keep) {
         if (session == null || session == keep) {
             return false;
         }
-        startedSessions.remove(session);
-        unusedSessions.remove(session);
-        idleSessions.remove(session);
-        session.closeAfterFlush(CloseReason.ROOM);
+        boolean isHeldBack = sessions.isHeldBack(session);
+        sessions.closing(session);
+        if (isHeldBack) {
+            session.closeHeldBack();
+        } else {
+            session.closeAfterFlush(CloseReason.ROOM);
+        }
         return true;
     }
 
+    /** The session reads no further message; its connection closes once its answers are written. */
+    void sessionClosing(ClientSession session) {
+        sessions.closing(session);
+    }
+
     /** Removes a session whose connection has closed. */
     void sessionClosed(ClientSession session) {
-        sessions.remove(session);
-        startedSessions.remove(session);
-        unusedSessions.remove(session);
-        idleSessions.remove(session);
+        sessions.closed(session);
         work.remove(session);
         limits.clientClosed();
         updateAccepting();
@@ -390,11 +374,12 @@
 
     /** The session has sent a message after its startup. */
     void commandReceived(ClientSession session) {
-        unusedSessions.remove(session);
+        sessions.messageReceived(session);
     }
 
     /** The session is held back for another reason than before; null: it is no longer. */
     void heldBackChanged(ClientSession session, HeldBack reason) {
+        sessions.setHeldBack(session, reason != null);
         if (reason == null) {
             return;
         }
@@ -413,9 +398,7 @@
 
     /** Records whether the session is between statements, which makes it a candidate for closing. */
     void setIdle(ClientSession session, boolean isIdle) {
-        idleSessions.remove(session);
-        if (isIdle && sessions.contains(session) && !unusedSessions.contains(session)) {
-            idleSessions.add(session);
+        if (sessions.setIdle(session, isIdle)) {
             closeExcessSessions(session);
         }
     }
@@ -514,12 +497,12 @@
     }
 
     private void drainSessions() {
-        new ArrayList<>(sessions).forEach(ClientSession::drain);
+        new ArrayList<>(sessions.open()).forEach(ClientSession::drain);
         checkStopped();
     }
 
     private void checkStopped() {
-        if (sessions.isEmpty() && dispatcher.inFlight() == 0) {
+        if (sessions.open().isEmpty() && dispatcher.inFlight() == 0) {
             terminate();
         }
     }
@@ -530,7 +513,7 @@
         }
         terminating = true;
         try {
-            new ArrayList<>(sessions).forEach(session -> session.abandon(CloseReason.SHUTDOWN));
+            new ArrayList<>(sessions.open()).forEach(session -> session.abandon(CloseReason.SHUTDOWN));
             discovery.close();
             dispatcher.close();
             if (listener != null) {
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -34,9 +34,9 @@
         maxMemberConnections = available - maxClients;
     }
 
-    /** Counts a new client connection; returns whether the soft limit is exceeded. */
-    boolean clientOpened() {
-        return ++openClients > clientsSoftLimit;
+    /** Counts a new client connection. */
+    void clientOpened() {
+        openClients++;
     }
 
     void clientClosed() {
--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -61,6 +61,13 @@
         return gateway.counters().join().getOrDefault(name, 0L);
     }
 
+    private void awaitCounter(String name, long least) throws InterruptedException {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); counter(name) < least; ) {
+            assertTrue(System.nanoTime() < end, name + " did not reach " + least);
+            Thread.sleep(1);
+        }
+    }
+
     private BlockingClient connect() throws IOException {
         return new BlockingClient(address).startup();
     }
@@ -109,6 +116,33 @@
         reader.close();
     }
 
+    /**
+     * Prevents that resting connections of usual clients are closed for room while those that hold half a message stay:
+     * the sessions that are held back count by themselves, and where they are most, the oldest of them is closed.
+     */
+    @Test void restingSessionIsNotClosedForHalfMessages() throws Exception {
+        start(configuration(), null);
+        Limits limits = new Limits(SOCKETS, 192);
+        try (BlockingClient resting = connect()) {
+            assertEquals("C Z", resting.ask("SET x = 1"));
+            List<BlockingClient> half = new ArrayList<>();
+            while (half.size() < limits.clientsSoftLimit) {
+                half.add(connect());
+                assertEquals("C Z", half.get(half.size() - 1).ask("SET x = 1"));
+                half.get(half.size() - 1).send(rpc("history").readRetainedSlice(20));
+                long expected = half.size();
+                awaitCounter("client.heldback.incomplete", expected);
+            }
+            awaitCounter("client.closed.heldback", 1);
+            assertEquals("E:08P01 closed", half.get(0).readAnswer());
+            assertEquals("C Z", resting.ask("SET x = 1"));
+            for (BlockingClient client : half) {
+                client.close();
+            }
+        }
+        assertEquals(0, counter("client.closed.room"));
+    }
+
     /** Prevents the loss of an RPC that follows an empty query on a gateway that drains before it is ready. */
     @Test void rpcBehindAnUnansweredEmptyQueryIsAnsweredAtADrain() throws Exception {
         JsonObject config = configuration();
