Account for answers that clients do not read, and divide direct memory among its uses

Callers saw answers lost and late beside 400 clients with large statements: direct memory ran out. Cause: unfinished input, statements and unread answers are all direct memory. The first two had limits of their own that did not know of each other, and unread answers had none for all clients together. Change: BufferReservations, which decides on unfinished input, also decides on unread answers: over the limit the connection with most of them is closed (client.closed.unread). Limits are an eighth of the memory configured, and at most 6, 3 and 2 sixteenths of direct memory for statements, unfinished input and unread answers.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -65,6 +65,7 @@
     private long lastProgressAt;
     private int queuedBytes; // what waiting messages take, as last accounted for
     private int unfinishedBytes; // what an incomplete message reserves, as last accounted for
+    private long unreadBytes; // what unread answers take, as last accounted for
     private int bytesInRead; // received by the read of the socket that is running
     private boolean lastReadWasFull; // so that the socket may hold more
     private boolean lastReadWasEmpty;
@@ -184,11 +185,22 @@
     }
 
     @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        accountOutput();
         workChanged();
     }
 
-    /** Closes the connection of a client that does not read its answers. */
+    /** Accounts for what the client's unread answers take of the memory. */
+    private void accountOutput() {
+        long unread = output.unreadBytes();
+        if (unread != unreadBytes) {
+            unreadBytes = unread;
+            dispatcher.setUnreadOutput(this, unread);
+        }
+    }
+
+    /** Closes the connection of a client that does not read its answers, while they take too much of the memory. */
     void rejectUnreadOutput() {
+        unreadBytes = 0;
         closing(CloseReason.UNREAD);
         channel.close();
     }
@@ -272,6 +284,7 @@
         output.flush();
         boolean workIsLeft = channel.isActive() && hasWork();
         if (channel.isActive()) {
+            accountOutput();
             accountInput();
             noteWorkLeft(workIsLeft, now);
             workChanged();
@@ -362,6 +375,7 @@
      * and one that still sends after a fatal error. lingerTimeout: how long the last of these may go on sending.
      */
     void sweep(long now, long lingerTimeout) {
+        accountOutput();
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
@@ -672,6 +686,7 @@
     private void finishRpc(ByteBuf response) {
         write(response);
         output.flush();
+        accountOutput();
         clearRpc();
         state = State.IDLE;
         // prevents an RPC from starting within the batch in which the previous one was answered
@@ -832,6 +847,8 @@
         input.clear();
         output.clear();
         accountInput();
+        unreadBytes = 0;
+        dispatcher.setUnreadOutput(this, 0);
         Rpc abandoned = rpc;
         clearRpc();
         if (abandoned != null) {
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -29,6 +29,7 @@
 import reedquay.core.Settings;
 import reedquay.core.SettingsReader;
 import reedquay.core.Stage;
+import reedquay.memory.BufferReservations;
 import reedquay.pg.Messages;
 import reedquay.route.PossiblyRunIds;
 import reedquay.time.UnixTimeEstimate;
@@ -597,11 +598,19 @@
      * reserve too much, messages are rejected, this one or others.
      */
     void setUnfinishedInput(InputOwner owner, int reservedBytes) {
-        limits.unfinishedInput.setReserved(owner, reservedBytes, clock.now());
-        for (InputOwner rejected = limits.unfinishedInput.ownerToRelease(); rejected != null;
-                rejected = limits.unfinishedInput.ownerToRelease()) {
-            limits.unfinishedInput.setReserved(rejected, 0, 0);
-            rejected.rejectUnfinishedInput();
+        reserve(limits.unfinishedInput, owner, reservedBytes, InputOwner::rejectUnfinishedInput);
+    }
+
+    /** The same for the answers that a client has not read; connections are closed while they take too much. */
+    void setUnreadOutput(ClientSession session, long bytes) {
+        reserve(limits.unreadOutput, session, bytes, ClientSession::rejectUnreadOutput);
+    }
+
+    private <O> void reserve(BufferReservations<O> reservations, O owner, long bytes, Consumer<O> release) {
+        reservations.setReserved(owner, bytes, clock.now());
+        for (O excess = reservations.ownerToRelease(); excess != null; excess = reservations.ownerToRelease()) {
+            reservations.setReserved(excess, 0, 0);
+            release.accept(excess);
         }
     }
 
--- a/src/main/java/reedquay/net/Limits.java
+++ b/src/main/java/reedquay/net/Limits.java
@@ -22,11 +22,16 @@
     final StatementMemory statementMemory;
     /** The memory that incomplete messages reserve; what their senders never complete must not use up the rest. */
     final BufferReservations<InputOwner> unfinishedInput;
+    /** The memory that answers take which their clients have not read. */
+    final BufferReservations<ClientSession> unreadOutput;
 
     Limits(int sockets, int memoryMb) {
-        long maxHeldBytes = memoryMb * 1024L * 1024 / 8;
-        statementMemory = new StatementMemory(maxHeldBytes);
-        unfinishedInput = new BufferReservations<>(Math.min(maxHeldBytes, PlatformDependent.maxDirectMemory() / 4));
+        long eighthOfMemory = memoryMb * 1024L * 1024 / 8;
+        // the buffers of all three uses are direct memory, of which some stays for what is read and sent at a time
+        long sixteenthOfDirect = PlatformDependent.maxDirectMemory() / 16;
+        statementMemory = new StatementMemory(Math.min(eighthOfMemory, 6 * sixteenthOfDirect));
+        unfinishedInput = new BufferReservations<>(Math.min(eighthOfMemory, 3 * sixteenthOfDirect));
+        unreadOutput = new BufferReservations<>(Math.min(eighthOfMemory, 2 * sixteenthOfDirect));
         int available = Math.max(16, sockets - RESERVED_DESCRIPTORS);
         maxClients = available * 5 / 8;
         clientsSoftLimit = maxClients * 7 / 8;
