Remember the last writes of a bounded number of sessions

Cause: Router.lastWriteBySession was never cleared, and kept names of any length. Change: SessionWrites remembers 16,384 sessions by a hash of their names. A session that is forgotten counts as having written when the newest forgotten one did, so that its reads are at most stricter than they need be. Result: RememberedRpcsTest compares with a model that forgets nothing, 100,000 steps: never earlier than the truth, exact for the sessions remembered. Router, rules and wire tests pass unchanged.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -175,6 +175,7 @@
     private static final int INITIAL_CONCURRENCY_LIMIT = 2; // call-outs in flight at a member that is not known yet
     // answers after which earlier ones count half; few, since other gateways change the member's load too
     private static final int RECENT_SAMPLES = 4;
+    private static final int MAX_REMEMBERED_SESSIONS = 16_384; // whose last write is remembered
     private static final int MAX_HELD_RECHECKS = 32; // held RPCs that are rechecked for one group in one batch
 
     private final RoutingActions actions;
@@ -191,8 +192,7 @@
     private final CRC32 crc = new CRC32();
     private final ByteBuffer hashInput = ByteBuffer.allocate(2 * Long.BYTES).order(ByteOrder.LITTLE_ENDIAN);
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
-    // session tokens, where the gateway remembers them
-    private final TreeMap<String, Long> lastWriteBySession = new TreeMap<>();
+    private final SessionWrites sessionWrites; // null where the gateway does not remember session tokens
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::expiresAt).thenComparingLong(Timer::sequence));
@@ -234,6 +234,7 @@
         membersRejectStaleReads = settings.positionSources().membersRejectStaleReads();
         goneMembersStayUsable = settings.rules().goneMembersStayUsable();
         gatewayRemembersTokens = settings.positionSources().gatewayRemembersTokens();
+        sessionWrites = gatewayRemembersTokens ? new SessionWrites(MAX_REMEMBERED_SESSIONS) : null;
         coldDuration = settings.rules().coldDuration();
         coldWindow = Math.max(settings.rules().coldWindow(), tick);
         coldShare = settings.rules().coldShare();
@@ -380,7 +381,7 @@
         }
         if (gatewayRemembersTokens && outcome == Outcome.OK && method.consistency() == Consistency.WRITE
                 && callOut.rpc.session != null) {
-            lastWriteBySession.merge(callOut.rpc.session, now, Math::max); // the commit was no later than now
+            sessionWrites.written(callOut.rpc.session, now); // the commit was no later than now
         }
         pending.mayHaveRunAt = Math.min(pending.mayHaveRunAt, outcome.provesNeverRan ? NEVER : callOut.sentAt);
         pending.misses += outcome == Outcome.MISS ? 1 : 0;
@@ -788,8 +789,9 @@
             return pending.rpc.method.maxAge();
         }
         if (consistency == Consistency.SESSION && gatewayRemembersTokens) {
-            Long lastWrite = pending.rpc.session == null ? null : lastWriteBySession.get(pending.rpc.session);
-            return lastWrite == null ? NEVER : now - lastWrite;
+            long lastWrite = pending.rpc.session == null ? SessionWrites.NO_WRITE
+                    : sessionWrites.lastWrite(pending.rpc.session);
+            return lastWrite == SessionWrites.NO_WRITE ? NEVER : now - lastWrite;
         }
         return consistency == Consistency.SESSION && pending.rpc.sessionTokenAge > 0
                 ? now - pending.arrivedAt + pending.rpc.sessionTokenAge : NEVER;
--- a/src/test/java/reedquay/route/RememberedRpcsTest.java
+++ b/src/test/java/reedquay/route/RememberedRpcsTest.java
@@ -3,12 +3,40 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /** Tests what is remembered of RPCs after their end, each beside a plain model that forgets nothing. */
 class RememberedRpcsTest {
+    /** Prevents a heap that grows with each session that writes; what is forgotten makes no read too old. */
+    @Test void sessionWritesAreBoundedAndNeverTooEarly() {
+        SplittableRandom random = new SplittableRandom(48);
+        int remembered = 100;
+        SessionWrites writes = new SessionWrites(remembered);
+        Map<String, Long> model = new HashMap<>();
+        List<String> newestLast = new ArrayList<>();
+        for (long now = 0; now < 100_000; now++) {
+            String written = "s" + random.nextInt(now % 20_000 < 10_000 ? 80 : 5_000);
+            writes.written(written, now);
+            model.put(written, now);
+            newestLast.remove(written);
+            newestLast.add(written);
+            String asked = "s" + random.nextInt(6_000);
+            long truth = model.getOrDefault(asked, SessionWrites.NO_WRITE);
+            assertTrue(writes.lastWrite(asked) >= truth, asked + " reads data that is too old");
+            boolean isRecent = newestLast.lastIndexOf(asked) >= newestLast.size() - remembered;
+            assertTrue(!isRecent || writes.lastWrite(asked) == truth, asked + " is remembered exactly");
+            if (newestLast.size() > 10_000) {
+                newestLast.subList(0, 5_000).clear();
+            }
+        }
+        SessionWrites unused = new SessionWrites(remembered);
+        assertEquals(SessionWrites.NO_WRITE, unused.lastWrite("s1"));
+    }
+
     /** Prevents a second run of a write whose id comes again, and a heap that grows with each write. */
     @Test void possiblyRunIdsAreKnownForTheirTimeAndBounded() {
         SplittableRandom random = new SplittableRandom(48);
