Treat a response of small messages without end as malformed

Cause: messages had a limit of length each, and a response none of all. Change: a response of more bytes than a row of the greatest length and 64 KB around it is malformed: the connection is closed, the call-out counts as one that may have run. Result: HalfMessagesTest#responseThatDoesNotEndIsMalformed fails without the limit (the call-out times out) and passes.

--- a/example/StandIn.java
+++ b/example/StandIn.java
@@ -147,7 +147,7 @@
          * Malformed answers: "norow" lacks the row, "tworows" has a second row instead of CommandComplete, "backwards"
          * has the row before its description and no CommandComplete, "misfit" has a value longer than its row, "huge"
          * has a row message of a length near 2^31, "unended" has a string without its terminating zero,
-         * "unfinished" stops within its row, and the connection stays open.
+         * "unfinished" stops within its row, and the connection stays open, "endless" reports settings without end.
          * Correct answers with an addition: "twice" repeats the answer, "noise" adds stray bytes, "future" reports a
          * position far in the future.
          */
@@ -312,6 +312,10 @@
                     out.release();
                     ctx.close();
                 }
+                case "endless" -> {
+                    out.release();
+                    reportSettings(ctx);
+                }
                 case "garbage" -> ctx.write(out.writeByte('?').writeInt(77));
                 case "", "half", "norow", "tworows", "backwards", "misfit", "huge", "unended", "unfinished", "twice",
                     "noise", "future" ->
@@ -320,6 +324,19 @@
             }
         }
 
+        /** Sends reports of settings for as long as the connection is open. */
+        private void reportSettings(ChannelHandlerContext ctx) {
+            ByteBuf out = ctx.alloc().buffer();
+            for (int i = 0; i < 200; i++) {
+                Messages.parameterStatus(out, "node_role", "follower");
+            }
+            ctx.writeAndFlush(out).addListener(f -> {
+                if (f.isSuccess()) {
+                    ctx.executor().execute(() -> reportSettings(ctx));
+                }
+            });
+        }
+
         private void writeError(ChannelHandlerContext ctx, ByteBuf out, String sqlState) {
             Messages.errorResponse(out, "ERROR", sqlState, "as told", null);
             ctx.write(Messages.readyForQuery(writePositionAndRole(out, server.position())));
--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -25,6 +25,9 @@
     /** The message types of a result, in order and once each: RowDescription, DataRow, CommandComplete. */
     private static final String RESULT_TYPES = "TDC";
 
+    /** A row of the greatest length, and room for the messages around it. */
+    private static final int MAX_RESPONSE_BYTES = Limits.MAX_MESSAGE_BYTES + 64 * 1024;
+
     /** What the member sent for a request, up to ReadyForQuery. */
     static final class Response {
         final List<Frame> frames = new ArrayList<>(RESULT_TYPES.length());
@@ -62,6 +65,7 @@
     private Channel channel;
     private Response response = new Response();
     private boolean written;
+    private int responseBytes; // received since the query, or since the connection opened
     private boolean malformed;
     private int accountedBytes; // what an unfinished response reserves, as last reported
     private boolean readingAtSettlingEnd; // what is read now was unread when the settling ended
@@ -91,6 +95,7 @@
         request = newRequest;
         newRequest.connection = this;
         written = false;
+        responseBytes = 0;
         response = new Response();
         if (newRequest.callOut != null) {
             newRequest.callOut.awaitingConnection = false;
@@ -112,6 +117,11 @@
             if (state == State.CLOSED) {
                 return; // input that follows a protocol violation
             }
+            responseBytes += frame.content().readableBytes();
+            if (responseBytes > MAX_RESPONSE_BYTES) {
+                protocolViolation("a response that does not end");
+                return;
+            }
             switch (frame.type) {
                 case 'T', 'D', 'C' -> {
                     // prevents passing on a malformed result: each part must come once, and in order
--- a/src/test/java/reedquay/net/HalfMessagesTest.java
+++ b/src/test/java/reedquay/net/HalfMessagesTest.java
@@ -108,6 +108,18 @@
         assertTrue(gateway.counters().join().getOrDefault("member.closed.partial", 0L) > 0);
     }
 
+    /** Prevents endless work for a member whose response consists of small messages without end. */
+    @Test void responseThatDoesNotEndIsMalformed() throws Exception {
+        start(MEMORY_MB);
+        BlockingClient client = new BlockingClient(address).startup();
+        clients.add(client);
+        assertEquals("I Z", client.ask(""));
+        standIn.server("one").fault = "endless";
+        assertTrue(client.ask("/* id=1,c=history,t=acme,d=1200,cluster=1 */ SELECT data FROM facts WHERE code = 'a'")
+                .startsWith("E:"));
+        assertTrue(gateway.counters().join().getOrDefault("callout.SPOILT", 0L) > 0);
+    }
+
     /** Prevents the rejection of a usual client's message instead of those that have long been incomplete. */
     @Test void largeStatementIsServedWhileHalfMessagesFillTheirShare() throws Exception {
         start(MEMORY_MB);
