Report an event loop that has ended by itself as a failure, with exit status 3

Operators saw a gateway end by itself with status 0, and a shutdown hook that failed (RejectedExecutionException). Cause: the hook reports every end as a requested one, and submits its stop to an event loop that is gone. Change: Gateway.stop() completes also where the event loop has ended, hasFailed() tells the two apart, and the process says so and ends with status 3. Result: StepFailureTest#failedEventLoopIsNoOrderlyStop, which does not compile before.

--- a/src/main/java/reedquay/Main.java
+++ b/src/main/java/reedquay/Main.java
@@ -19,6 +19,8 @@
  * an operators' file, none of the classes that it can enable are loaded either.
  */
 public final class Main {
+    private static final int EXIT_FAILED = 3; // the gateway has started and ended without a request
+
     private Main() { }
 
     /** Runs the command and exits with its status; a gateway that has started keeps the process running. */
@@ -95,11 +97,15 @@
             Gateway gateway = operatorGateway != null ? operatorGateway.gateway()
                     : new Gateway(Configuration.read(Path.of(configFile)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                boolean hasFailed = gateway.hasFailed();
                 gateway.stop().join();
                 Reference.reachabilityFence(traceLogger);
                 System.out.println("counters " + gateway.counters().join());
                 System.out.flush();
-                Runtime.getRuntime().halt(0); // a requested shutdown is reported as success
+                if (hasFailed) {
+                    System.err.println("reedquay: the event loop ended by a failure");
+                }
+                Runtime.getRuntime().halt(hasFailed ? EXIT_FAILED : 0); // a requested shutdown is reported as success
             }));
             // null without an operators' file, so that the reload handler then loads none of its classes
             Runnable reloadOperatorFile = operatorGateway == null ? null : operatorGateway::reload;
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -70,7 +70,7 @@
     private boolean ready;
     private boolean stopRequested;
     private boolean stopping; // accepts no more; terminates with its last session
-    private boolean terminating;
+    private volatile boolean terminating;
     private boolean listening;
     private Channel listener;
     private long acceptPausedAt = NOT_PAUSED; // since then connections may have waited to be accepted
@@ -104,6 +104,7 @@
         long keepalive = configuration.settings().keepaliveTimeout();
         idleTimeout = keepalive > 0 ? keepalive / 2 : Long.MAX_VALUE / 2;
         sweepInterval = Math.max(1_000_000, dispatcher.settings().capabilities().connectTimeout() / 8);
+        group.terminationFuture().addListener(f -> stopped.complete(null)); // also where the event loop has failed
         counters.gauge("client.open", limits::openClients);
         counters.gauge("member.open", limits::openMemberConnections);
         counters.gauge("client.heldbytes", limits.statementMemory::totalBytes);
@@ -459,7 +460,7 @@
      * The future completes when everything is closed.
      */
     public CompletableFuture<Void> stop() {
-        if (stopped.isDone()) {
+        if (stopped.isDone() || loop.isShuttingDown()) {
             return stopped;
         }
         loop.execute(() -> {
@@ -479,6 +480,11 @@
         return stopped;
     }
 
+    /** Whether the event loop has ended without a stop, by a failure; nothing is served any more. */
+    public boolean hasFailed() {
+        return loop.isShuttingDown() && !terminating;
+    }
+
     /** Accepts what is in the backlog by now, whatever the limit, and then closes the listener; sessions stay open. */
     private void stopAccepting() {
         listening = false;
--- a/src/test/java/reedquay/net/StepFailureTest.java
+++ b/src/test/java/reedquay/net/StepFailureTest.java
@@ -4,11 +4,14 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.internal.ThreadExecutorMap;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -36,6 +39,20 @@
         }
     }
 
+    /** Prevents an end that looks like a requested one, which happens when the event loop itself has failed. */
+    @Test void failedEventLoopIsNoOrderlyStop() throws Exception {
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:9");
+        Gateway gateway = new Gateway(Configuration.parse(config.toString()));
+        gateway.start().join();
+        assertFalse(gateway.hasFailed());
+        gateway.runOnEventLoop(() -> ((EventExecutor) ThreadExecutorMap.currentExecutor())
+                .shutdownGracefully(0, 0, TimeUnit.SECONDS)).join();
+        gateway.stop().get(5, TimeUnit.SECONDS);
+        assertTrue(gateway.hasFailed());
+    }
+
     /** Prevents a failed start, which happens when the address or a socket is not free at the first attempt. */
     @Test void startWaitsForItsAddress() throws Exception {
         JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
