Take the wait to be accepted off a deadline until what waited is handled

Callers would see an answer after their time: the deadline of a statement that waited in the backlog was too late by that wait. Cause: since clients are served in turns, the wait was forgotten when the statement was read, before it was handled. Found by reading the change again; no test had shown it. Change: the wait counts until what the client had sent is handled, also where the statement has to catch up.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -79,7 +79,7 @@
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
-    /** For how long, at most, what this client has sent so far waited to be read; 0 once its later input is read. */
+    /** For how long, at most, what this client has sent so far waited to be read; 0 once that is handled. */
     private long backlogWait;
     private boolean departureCheckScheduled;
     private boolean departureChecked; // after a wait it is known that the client has not closed meanwhile
@@ -253,6 +253,7 @@
 
     /** What follows once all that can be handled now is. */
     private void workDone() {
+        backlogWait = departureChecked ? 0 : backlogWait;
         closeIfDrained();
         closeIfAbandoned();
         if (startupUnreported && state != State.CLOSING) {
@@ -365,7 +366,6 @@
                 SocketInput.readNow(channel);
                 departureChecked = true;
                 resume();
-                backlogWait = 0;
             }, DEPARTURE_CHECK_NANOS, TimeUnit.NANOSECONDS);
         }
     }
@@ -606,7 +606,7 @@
         }
         long waited = dispatcher.clock.now() - catchingUpSince;
         if (!behind) {
-            submitRpc(waited);
+            submitRpc(backlogWait + waited);
         } else if (waited >= MAX_CATCH_UP_NANOS) {
             state = State.IDLE;
             clearRpc();
--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -274,4 +274,30 @@
             assertTrue(leftMillis > 900, "the method's deadline is 1,200 ms, left are " + leftMillis);
         }
     }
+
+    /** Prevents an answer past its time, which happens when the wait to be accepted is not taken off the deadline. */
+    @Test void deadlineOfAClientThatWaitedToBeAcceptedIsNearer() throws Exception {
+        start(configuration(), null);
+        List<BlockingClient> clients = new ArrayList<>();
+        while (clients.size() < new Limits(SOCKETS, 192).maxClients) { // accepting is paused at this number
+            clients.add(connect());
+            clients.get(clients.size() - 1).send(rpc("order"));
+        }
+        awaitHeld(clients.size());
+        try (BlockingClient waiting = new BlockingClient(address)) {
+            waiting.send(Messages.startupMessage(Unpooled.buffer(), "portal", "crm").writeBytes(rpc("history")));
+            long sentAt = System.currentTimeMillis();
+            Thread.sleep(600);
+            clients.remove(0).close();
+            awaitCounter("client.closed.client", 1);
+            awaitHeld(clients.size() + 1);
+            long[] deadline = new long[1];
+            gateway.runOnEventLoop(() -> deadline[0] = engine.held.get(engine.held.size() - 1).deadline).join();
+            long afterSending = deadline[0] / 1_000_000 - sentAt;
+            assertTrue(afterSending <= 1_250, "the client waits 1,200 ms, the deadline is after " + afterSending);
+        }
+        for (BlockingClient client : clients) {
+            client.close();
+        }
+    }
 }
