End the input of clients that send without end when the gateway drains

Cause: such a client's session never became idle, so that it was there at the end, and its waiting messages were handled (2,000 of each session) or dropped one by one in the last 0.1 s. Change: a draining gateway reads no further from a client of which more is unread; what has been read is answered in turns and the session closes. The end gives all sessions 20 ms together; dropped messages are only walked over. Where a client sends without end, a further call-out is left out while another is in flight, in place of ending the RPC. client.closed.owing leaves out messages that get no answer. Each message costs one look-up less.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -35,6 +35,7 @@
     /** Whether a client is still there; UNKNOWN: more of its input is unread than can be read now. */
     enum Presence { CONNECTED, LEFT, UNKNOWN }
 
+    private static final String ANSWERED_TYPES = "QPBDECSF"; // the types of messages that get an answer
     private static final int MAX_COMMAND_LENGTH = 64; // of what the gateway answers itself
     private static final Pattern STATEMENT_END = Pattern.compile("[;\\s]+$");
     private static final Pattern SHOW = Pattern.compile("SHOW [A-Z]+");
@@ -44,8 +45,9 @@
     private static final long MIN_HELD_BACK_NANOS = 20_000_000; // with work left, until that is worth a note
     private static final long NONE_LEFT = Long.MIN_VALUE;
     private static final int MAX_READS_FOR_PRESENCE = 16;
+    private static final int MAX_READS_WHEN_BEHIND = 2; // where more is unread in any case, or the end is near
     private static final int MAX_UNSERVED_BYTES = 4096; // that wait only for the event loop, before reading is paused
-    private static final int MAX_MESSAGES_AT_ABANDON = 2_000;
+    private static final long MAX_ABANDON_NANOS = 1_000_000;
 
     private final Gateway gateway;
     private final Dispatcher dispatcher;
@@ -57,9 +59,11 @@
     private Statement statement;
     private boolean draining;
     private boolean registered;
+    private boolean countsAsIdle; // between statements, so that it may be closed for room
     private boolean startupUnreported; // the startup message was received, and more may wait behind it
     private boolean commandReceived; // a message was received after the startup
     private long connectedAt;
+    private boolean inputEnded; // nothing that is read from now on is handled
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
@@ -111,7 +115,7 @@
         ByteBuf bytes = (ByteBuf) message;
         bytesInRead += bytes.readableBytes();
         lastReadWasFull = !bytes.isWritable();
-        if (state == State.CLOSING || inputError != null) {
+        if (state == State.CLOSING || inputError != null || inputEnded) {
             discard(bytes);
             return;
         }
@@ -224,7 +228,7 @@
 
     /** Whether reading on is of use: not for a client that reads no answers, unless its end has to be noticed. */
     private boolean mayRead() {
-        return output.isWritable() || isAwaitingOutcome();
+        return output.isWritable() && !inputEnded || isAwaitingOutcome();
     }
 
     private boolean canReadOn() {
@@ -260,8 +264,14 @@
             startupUnreported = false;
             gateway.startupReceived(this);
         }
-        if (state != State.CLOSING) {
-            gateway.setIdle(this, state == State.IDLE && !input.hasMessage() && input.refusedMessages() == 0);
+        setIdle(state == State.IDLE && !input.hasMessage() && input.refusedMessages() == 0);
+    }
+
+    /** Records whether the session is between statements; costs nothing while it stays busy. */
+    private void setIdle(boolean isIdle) {
+        if ((isIdle || countsAsIdle) && state != State.CLOSING) {
+            countsAsIdle = isIdle;
+            gateway.setIdle(this, isIdle);
         }
     }
 
@@ -301,7 +311,7 @@
     }
 
     private void handleNext() {
-        gateway.setIdle(this, false); // before any callback of this message can look for a session to close
+        setIdle(false); // before any callback of this message can look for a session to close
         Frame frame;
         try {
             frame = input.next();
@@ -376,6 +386,7 @@
      */
     void sweep(long now, long lingerTimeout) {
         accountOutput();
+        endInputIfBehind();
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
@@ -437,6 +448,12 @@
         return isAwaitingOutcome() || state != State.CLOSING && (input.hasMessage() || input.refusedMessages() > 0);
     }
 
+    /** The same without messages that get no answer. */
+    private boolean owesAnswerToMessage() {
+        String answered = state == State.SKIPPING_TO_SYNC ? "S" : ANSWERED_TYPES;
+        return hasUnansweredMessage() && (isAwaitingOutcome() || input.hasMessageOfType(answered));
+    }
+
     /**
      * Reads nothing more from this client, whose input is malformed. The error is sent once all earlier messages are
      * answered, since an RPC in flight still gets its answer.
@@ -636,7 +653,8 @@
      * the gateway may have been held up since it last read it.
      */
     Presence presence() {
-        for (int reads = 0; channel.isActive() && reads < MAX_READS_FOR_PRESENCE; reads++) {
+        int maxReads = behind ? MAX_READS_WHEN_BEHIND : MAX_READS_FOR_PRESENCE;
+        for (int reads = 0; channel.isActive() && reads < maxReads; reads++) {
             SocketInput.readNow(channel);
             if (lastReadWasEmpty && channel.isActive()) {
                 return Presence.CONNECTED;
@@ -713,25 +731,34 @@
     /** From now on the session closes as soon as its client is owed no answer. */
     void drain() {
         draining = true;
+        endInputIfBehind();
         if (state == State.AWAITING_READINESS) {
             state = State.IDLE;
             write(refusal());
-            resume();
         }
-        closeIfDrained();
+        resume();
+    }
+
+    /** Ends the input of a draining client of which more is unread: what is not read, it can send again elsewhere. */
+    private void endInputIfBehind() {
+        if (draining && behind && !inputEnded) {
+            inputEnded = true;
+            input.discardFurther();
+            accountInput();
+        }
     }
 
     private void closeIfDrained() {
-        if (draining && (state == State.IDLE || state == State.STARTUP) && !owesAnswer()) {
+        if (draining && state != State.CLOSING && !isAwaitingOutcome() && !owesAnswer()) {
             closeAfterFlush(CloseReason.DRAIN);
         }
     }
 
     /**
      * Closes the connection because the gateway stops or the session has failed. The RPC in flight is answered as
-     * failed, since it may have run, and statements that wait are refused.
+     * failed, since it may have run, and statements that wait are refused, as many as the allowed time suffices for.
      */
-    void abandon(CloseReason reason) {
+    void abandon(CloseReason reason, long allowedNanos) {
         if (abandonReason != null || state == State.CLOSING) {
             return;
         }
@@ -746,7 +773,8 @@
             write(refusal());
         }
         departureChecked = true;
-        for (int i = 0; i < MAX_MESSAGES_AT_ABANDON && channel.isActive() && canHandleMessage(); i++) {
+        long start = System.nanoTime();
+        while (channel.isActive() && canHandleMessage() && System.nanoTime() - start < allowedNanos) {
             handleNext(); // there is no later turn
             output.flushIfLarge();
         }
@@ -775,7 +803,7 @@
         }
         closeReason = reason;
         dispatcher.counters.add(reason.counter());
-        dispatcher.counters.add("client.closed.owing", reason.requiresAllAnswered && hasUnansweredMessage() ? 1 : 0);
+        dispatcher.counters.add("client.closed.owing", reason.requiresAllAnswered && owesAnswerToMessage() ? 1 : 0);
         dispatcher.sessionClosing(connectionId(), reason, rpc);
     }
 
@@ -803,15 +831,7 @@
     /** Drops the messages that wait, and counts those that are owed an answer. */
     private void discardWaiting() {
         boolean isOwed = closeReason != null && closeReason.requiresAllAnswered;
-        long owed = input.refusedMessages();
-        try {
-            for (Frame frame = input.next(); frame != null; frame = input.next()) {
-                owed += frame.type == 'Q' ? 1 : 0;
-                frame.release();
-            }
-        } catch (CorruptedFrameException e) {
-            input.discardFurther();
-        }
+        long owed = input.dropMessages();
         dispatcher.counters.add("client.discarded", isOwed ? owed : 0);
         accountInput();
     }
@@ -872,7 +892,7 @@
     private void failed(Throwable cause) {
         dispatcher.counters.add("client.failed");
         dispatcher.logOnce("a client session failed: " + cause);
-        abandon(CloseReason.FAILED);
+        abandon(CloseReason.FAILED, MAX_ABANDON_NANOS);
     }
 
     /** The buffer to which an answer is appended; write() ends the answer. */
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -384,9 +384,9 @@
     }
 
     /**
-     * Whether a call-out must not begin, since its client has left or may have; the RPC ends then. Prevents call-outs
-     * for a client that has left, which happen when the engine's timers run before the event loop has read that
-     * client's end, or that end stands behind more input than can be read.
+     * Whether a call-out must not begin, since its client has left or may have; the RPC ends then, unless another
+     * call-out is in flight. Prevents call-outs for a client that has left, which happen when the engine's timers run
+     * before the event loop has read that client's end, or that end stands behind more input than can be read.
      */
     private boolean endsForAbsence(CallOut callOut) {
         Rpc rpc = callOut.rpc;
@@ -402,7 +402,13 @@
                 counters.add("rpc.clientgone.unread");
                 clientDisconnected(rpc);
             }
-            case UNKNOWN -> refuseUnread(callOut, session);
+            case UNKNOWN -> {
+                counters.add(HeldBack.INPUT.counter());
+                if (rpc.callOuts.stream().anyMatch(other -> other != callOut && !other.ended)) {
+                    return true; // the one in flight may still answer it
+                }
+                refuseUnread(callOut, session);
+            }
         }
         departed.add(rpc);
         submitInput(engine -> departed.remove(rpc)); // by then the engine has been told
@@ -412,8 +418,7 @@
     /** Ends an RPC whose client sends without end: it is pushed back if nothing of it can have run. */
     private void refuseUnread(CallOut callOut, ClientSession session) {
         Rpc rpc = callOut.rpc;
-        counters.add(HeldBack.INPUT.counter());
-        if (rpc.callOuts.stream().allMatch(other -> other == callOut || other.ended && !other.mayHaveRun)) {
+        if (rpc.callOuts.stream().allMatch(other -> other == callOut || !other.mayHaveRun)) {
             recordFinalAnswer(rpc, "rpc.pushedback", false);
             session.sendError("53300", "more follows this statement than can be read now; trying again is harmless",
                     retryAfterMillis(settings.standardRetryAfter()));
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -39,6 +39,8 @@
     private static final long BIND_TIMEOUT_NANOS = 2_000_000_000;
     private static final long BIND_RETRY_NANOS = 50_000_000;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
+    private static final long MAX_ABANDON_NANOS = 20_000_000; // for all sessions that are left at the end
+    private static final long MIN_ABANDON_NANOS = 50_000; // for each of them
     private static final int MIN_READ_BYTES = 2 * 1024; // of a client's socket in one turn
     private static final int MAX_READ_BYTES = 16 * 1024;
     /** The unread answers of a client beyond which no further message of it is handled. */
@@ -519,7 +521,7 @@
         }
         terminating = true;
         try {
-            new ArrayList<>(sessions.open()).forEach(session -> session.abandon(CloseReason.SHUTDOWN));
+            abandonSessions();
             discovery.close();
             dispatcher.close();
             if (listener != null) {
@@ -531,6 +533,16 @@
         }
     }
 
+    /** Ends all sessions within a limited time; what one does not need of its share is left to those after it. */
+    private void abandonSessions() {
+        long end = System.nanoTime() + MAX_ABANDON_NANOS;
+        List<ClientSession> remaining = new ArrayList<>(sessions.open());
+        for (int i = 0; i < remaining.size(); i++) {
+            long share = (end - System.nanoTime()) / (remaining.size() - i);
+            remaining.get(i).abandon(CloseReason.SHUTDOWN, Math.max(MIN_ABANDON_NANOS, share));
+        }
+    }
+
     /** The current value of every counter, by name. */
     public CompletableFuture<Map<String, Long>> counters() {
         CompletableFuture<Map<String, Long>> all = new CompletableFuture<>();
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.CorruptedFrameException;
+import java.util.function.IntConsumer;
 
 /**
  * What a client has sent and nobody has handled yet, as the bytes received: a message takes nothing but its bytes until
@@ -122,6 +123,11 @@
 
     /** The index behind the last message that is complete, of those before the first malformed one. */
     private int completeEnd() {
+        return walk(type -> { });
+    }
+
+    /** Passes on the type of each message that is complete; returns the index behind the last one. */
+    private int walk(IntConsumer types) {
         int index = received.readerIndex();
         try {
             while (true) {
@@ -129,6 +135,7 @@
                 if (length == MessageHeader.INCOMPLETE || index + 1 + length > received.writerIndex()) {
                     return index;
                 }
+                types.accept(received.getByte(index));
                 index += 1 + length;
             }
         } catch (CorruptedFrameException e) {
@@ -136,6 +143,26 @@
         }
     }
 
+    /** Whether any message that is complete has one of these types, a letter each, or was refused. */
+    public boolean hasMessageOfType(String types) {
+        boolean[] found = {refusedMessages() > 0};
+        if (!expectsUntyped) {
+            walk(type -> found[0] |= types.indexOf(type) >= 0);
+        }
+        return found[0];
+    }
+
+    /** Drops all messages that are complete, after the startup; returns how many queries were among them. */
+    public long dropMessages() {
+        if (expectsUntyped) {
+            return 0;
+        }
+        long[] queries = {refusedMessages()};
+        received.readerIndex(walk(type -> queries[0] += type == 'Q' ? 1 : 0));
+        refused = null;
+        return queries[0];
+    }
+
     /** Whether messages are refused now. */
     public boolean isRefusing() {
         return refused != null;
