Bound what one long service costs a client, so that a hold-up costs few rounds

Cause: the whole time of a service was charged to its client. Where the loop's thread was held up meanwhile by some milliseconds, a usual client owed tens of quanta, and with 300 others each quantum took a round of 75 ms. Change: a client owes two quanta at most; a quantum is 0.1 ms in place of 0.25 ms. A failure while a session is served ends neither the turn nor the next one.

--- a/src/main/java/reedquay/loop/FlowScheduler.java
+++ b/src/main/java/reedquay/loop/FlowScheduler.java
@@ -10,7 +10,8 @@
  * (Shreedhar and Varghese, 1995) on the time that the work took: each round gives a flow one quantum, and a flow that
  * took more waits for as many rounds as it took quanta. Flows that become active are served before those that have used
  * up a quantum, as in FQ-CoDel (RFC 8290), so that one which needs less than its share never waits for those that want
- * more; one that ends its work goes through a round of the others before it counts as new again. Not thread-safe.
+ * more; one that ends its work goes through a round of the others before it counts as new again. What one service takes
+ * beyond two quanta is not held against its flow: the loop's thread may have been held up meanwhile. Not thread-safe.
  */
 public final class FlowScheduler<F> {
     /** A flow's place and what it may still use; flows without work have one only until their next turn. */
@@ -26,6 +27,8 @@
         }
     }
 
+    private static final int MAX_DEBT_QUANTA = 2;
+
     private final long quantum;
     private final long turnLength;
     private final Map<F, Place<F>> places = new IdentityHashMap<>();
@@ -97,7 +100,7 @@
         if (place == null) {
             return; // it was removed meanwhile
         }
-        place.deficit -= nanos;
+        place.deficit = Math.max(place.deficit - nanos, -MAX_DEBT_QUANTA * quantum);
         if (!hasWork) {
             deactivate(place);
             if (place.isNew) {
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -8,12 +8,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 import reedquay.core.Method;
 import reedquay.core.Rpc;
 import reedquay.pg.ClientInput;
@@ -36,10 +33,6 @@
     enum Presence { CONNECTED, LEFT, UNKNOWN }
 
     private static final String ANSWERED_TYPES = "QPBDECSF"; // the types of messages that get an answer
-    private static final int MAX_COMMAND_LENGTH = 64; // of what the gateway answers itself
-    private static final Pattern STATEMENT_END = Pattern.compile("[;\\s]+$");
-    private static final Pattern SHOW = Pattern.compile("SHOW [A-Z]+");
-    private static final Pattern SETTING = Pattern.compile("(SET|RESET|DISCARD)( .*)?");
     private static final long DEPARTURE_CHECK_NANOS = 1_000_000; // more than one pass of the event loop
     private static final long MAX_CATCH_UP_NANOS = 50_000_000; // half the time in which a client's end must be noticed
     private static final long MIN_HELD_BACK_NANOS = 20_000_000; // with work left, until that is worth a note
@@ -520,23 +513,11 @@
             startRpc(frame);
             return;
         }
-        String text = frame.stringAt(0);
-        boolean isShort = text.length() <= MAX_COMMAND_LENGTH;
-        String command = isShort ? STATEMENT_END.matcher(text.strip()).replaceAll("").toUpperCase(Locale.ROOT) : "";
-        if (command.isEmpty() && isShort) {
+        String command = GatewayCommands.parse(frame);
+        if (command.isEmpty()) {
             answerEmptyQueryWhenReady();
-        } else if (command.equals("SHOW COUNTERS")) {
-            sendCounters();
-        } else if (SETTING.matcher(command).matches()) {
-            write(Messages.readyForQuery(Messages.commandComplete(buffer(), command.replaceAll(" .*", ""))));
-        } else {
-            List<String[]> table = SHOW.matcher(command).matches()
-                    ? gateway.showTable(command.substring(5).toLowerCase(Locale.ROOT)) : null;
-            if (table == null) {
-                startRpc(frame);
-            } else {
-                sendTable(table.subList(1, table.size()), table.get(0));
-            }
+        } else if (!GatewayCommands.answer(command, gateway, dispatcher, buffer())) {
+            startRpc(frame);
         }
     }
 
@@ -555,18 +536,6 @@
         });
     }
 
-    private void sendCounters() {
-        List<String[]> rows = new ArrayList<>();
-        dispatcher.allCounters().forEach((name, value) -> rows.add(new String[] {name, value.toString()}));
-        sendTable(rows, "name", "value");
-    }
-
-    private void sendTable(List<String[]> rows, String... names) {
-        ByteBuf out = Messages.rowDescription(buffer(), names);
-        rows.forEach(row -> Messages.dataRow(out, row));
-        write(Messages.readyForQuery(Messages.commandComplete(out, "SELECT " + rows.size())));
-    }
-
     private void startRpc(Frame frame) {
         if (abandonReason != null) {
             write(refusal());
--- a/src/main/java/reedquay/net/SessionWork.java
+++ b/src/main/java/reedquay/net/SessionWork.java
@@ -10,7 +10,7 @@
  * event loop alone.
  */
 final class SessionWork {
-    private static final long QUANTUM_NANOS = 250_000;
+    private static final long QUANTUM_NANOS = 100_000;
     private static final long TURN_NANOS = 5_000_000;
 
     private final EventLoop loop;
@@ -37,16 +37,27 @@
     }
 
     private void serveSessions() {
-        scheduler.beginTurn();
-        for (ClientSession session = scheduler.next(); session != null; session = scheduler.next()) {
-            long start = System.nanoTime();
-            boolean hasWork = session.serve(start, scheduler.allowance(session));
-            scheduler.served(session, System.nanoTime() - start, hasWork);
+        try {
+            scheduler.beginTurn();
+            for (ClientSession session = scheduler.next(); session != null; session = scheduler.next()) {
+                serve(session);
+            }
+        } finally { // a failure must not end the turns of all
+            scheduled = scheduler.hasWork();
+            if (scheduled) {
+                // as a timer, which runs only after the sockets were polled again; a task could run before that
+                loop.schedule(serving, 0, TimeUnit.NANOSECONDS);
+            }
         }
-        scheduled = scheduler.hasWork();
-        if (scheduled) {
-            // as a timer, which runs only after the sockets were polled again; a task could run before that
-            loop.schedule(serving, 0, TimeUnit.NANOSECONDS);
+    }
+
+    private void serve(ClientSession session) {
+        long start = System.nanoTime();
+        boolean hasWork = false;
+        try {
+            hasWork = session.serve(start, scheduler.allowance(session));
+        } finally {
+            scheduler.served(session, System.nanoTime() - start, hasWork);
         }
     }
 }
