Read an idle member connection before it is used again

Cause: an idle connection was taken as clean by what had been read. Change: Pool reads the socket of an idle connection before it uses it, and closes it if anything is there. Result: UnreadInputTest#secondCopyThatIsUnreadWhenAnIdleConnectionIsUsedIsNotServed gets v1 for v2 without the change.

--- a/src/main/java/reedquay/net/MemberConnection.java
+++ b/src/main/java/reedquay/net/MemberConnection.java
@@ -261,6 +261,12 @@
         pool.connectionReady(this);
     }
 
+    /** The same by now: the socket is read first, in which a late copy of a response may be unread. */
+    boolean isCleanNow() {
+        SocketInput.readNow(channel);
+        return state != State.CLOSED && channel.isActive() && isClean();
+    }
+
     /** Whether no byte of a further message has been received. */
     boolean isClean() {
         return !decoder.hasPartialMessage();
--- a/src/main/java/reedquay/net/Pool.java
+++ b/src/main/java/reedquay/net/Pool.java
@@ -41,7 +41,7 @@
     /** Sends a request on an idle connection, or else on the next one that is ready. */
     void submit(MemberRequest request) {
         MemberConnection connection = idle.pollFirst();
-        while (connection != null && !connection.isClean()) { // data arrived while it was idle
+        while (connection != null && !connection.isCleanNow()) { // data arrived while it was idle
             connection.close();
             connection = idle.pollFirst();
         }
--- a/src/test/java/reedquay/net/UnreadInputTest.java
+++ b/src/test/java/reedquay/net/UnreadInputTest.java
@@ -128,6 +128,39 @@
         }
     }
 
+    /** Prevents the same by a copy that comes later, while the connection is idle, and is unread at its next use. */
+    @Test void secondCopyThatIsUnreadWhenAnIdleConnectionIsUsedIsNotServed() throws Exception {
+        ScriptedEngine[] engine = new ScriptedEngine[1];
+        start(configuration(), new GatewayComponents((settings, actions) -> engine[0] = new ScriptedEngine(actions),
+                null), new MonotonicClock());
+        StandIn.Server server = standIn.server("one");
+        try (BlockingClient first = new BlockingClient(address).startup();
+                BlockingClient second = new BlockingClient(address).startup()) {
+            first.send(Messages.query(Unpooled.buffer(), write(1, "v1")));
+            awaitCounter("rpc.inhand", 1);
+            while (engine[0].members.isEmpty()) {
+                sleep(1);
+            }
+            gateway.runOnEventLoop(() -> sendHeld(engine[0], 0)).join();
+            assertEquals("T D:v1 C Z", first.readAnswer());
+            sleep(2 * TICK_MILLIS); // the connection is idle
+            second.send(Messages.query(Unpooled.buffer(), write(2, "v2")));
+            awaitCounter("rpc.inhand", 1);
+            gateway.runOnEventLoop(() -> {
+                server.repeatLastAnswer();
+                sleep(20);
+                sendHeld(engine[0], 1);
+            }).join();
+            assertEquals("T D:v2 C Z", second.readAnswer());
+            awaitCounter("member.breach", 1);
+        }
+    }
+
+    /** Called on the event loop: has the engine send a call-out for a held RPC. */
+    private static void sendHeld(ScriptedEngine engine, int index) {
+        engine.actions.sendCallOut(new CallOut(engine.held.get(index), engine.members.get(0).member(), 0), 0);
+    }
+
     /**
      * Prevents an RPC for a client that has left, which happens when the client's connection waited to be accepted and
      * its end is still unread when that is checked.
