Take the gauge of unread answers from its account, which any thread may read

Cause, by the trace's stack: counters are read on the caller's thread once the event loop shuts down, and the gauge, new in, went through the set of sessions while the loop closed them; the shutdown hook reads them so too. Change: the gauge is the account's sum, a number, as the other gauges of memory are. No test of its own: the order of two threads in the last moments of a gateway is not in a test's hand.

--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -114,17 +114,12 @@
         for (HeldBack reason : HeldBack.values()) {
             counters.add(reason.counter(), 0);
         }
-        counters.gauge("client.outputbytes", this::unreadOutputBytes);
+        counters.gauge("client.outputbytes", limits.unreadOutput::totalBytes);
         counters.gauge("memory.heap", () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         loopMonitor.register(counters);
         counters.gauge("memory.direct", PooledByteBufAllocator.DEFAULT.metric()::usedDirectMemory);
     }
 
-    /** The bytes of answers that wait until their clients read them. */
-    private long unreadOutputBytes() {
-        return sessions.open().stream().mapToLong(ClientSession::unreadOutputBytes).sum();
-    }
-
     /** Starts to listen and to follow discovery; the future is the address that clients connect to. */
     public CompletableFuture<InetSocketAddress> start() {
         CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
