--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../case-2.sh" 6 HalfCommands
+exec "$(dirname "$0")/../case-2.sh" 6 LongKeys
--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -7,7 +7,7 @@
 fi
 root=$(cd .. && pwd) || exit 2
 temp=$(mktemp -d) || exit 2
-java -Xmx256m -cp src-2/target -Droot="$root" -Dtemp="$temp" -Drecord="$root/review/$1/record.txt" "$2" &
+java -Xmx768m -cp src-2/target -Droot="$root" -Dtemp="$temp" -Drecord="$root/review/$1/record.txt" "$2" &
 case=$!
 trap 'kill $case 2>/dev/null; wait $case; rm -rf "$temp"; exit 2' INT TERM HUP
 wait $case
--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -209,7 +209,7 @@
     // ---- Database servers ----
 
     /** A statement that has reached a database server; times in milliseconds since the case began. */
-    record Arrival(String id, String server, long firstByteAt, String text) { }
+    record Arrival(String id, String server, long firstByteAt) { }
 
     /** A group of database servers: the log of its commits, and who is primary. */
     static final class Group {
@@ -225,9 +225,11 @@
             this.number = number;
         }
 
+        private final Map<String, String> codes = new LinkedHashMap<>(); // each one once, since they may be long
+
         synchronized Commit commit(String code, String value) {
             lastPosition = Math.max(nowMs(), lastPosition + 1);
-            Commit commit = new Commit(code, value, lastPosition);
+            Commit commit = new Commit(codes.computeIfAbsent(code, c -> c), value, lastPosition);
             log.add(commit);
             return commit;
         }
@@ -365,7 +367,7 @@
             if (!text.startsWith("/*")) {
                 return out.error("42501", "not here").ready().take();
             }
-            arrivals.add(new Arrival(field(text, "id"), name, firstByteAt, text));
+            arrivals.add(new Arrival(field(text, "id"), name, firstByteAt));
             if (hangs) {
                 return null;
             }
