--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../case-2.sh" 7 HalfCommands
+exec "$(dirname "$0")/../case-2.sh" 7 EndedInput
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../case-2.sh" 8 ForgottenRole
+exec "$(dirname "$0")/../case-2.sh" 8 RejectedBatch
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,2 +1,2 @@
 #!/bin/bash
-exec "$(dirname "$0")/../case-2.sh" 9 IndentedLists
+exec "$(dirname "$0")/../case-2.sh" 9 ForgottenRole
--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -230,6 +230,9 @@
         synchronized Commit commit(String code, String value) {
             lastPosition = Math.max(nowMs(), lastPosition + 1);
             Commit commit = new Commit(codes.computeIfAbsent(code, c -> c), value, lastPosition);
+            if (value.length() > 1000) { // nobody asks for an older one
+                log.removeIf(earlier -> earlier.code.equals(code));
+            }
             log.add(commit);
             return commit;
         }
--- a/review/src-2/HalfCommands.java
+++ b/review/src-2/RejectedBatch.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bad clients stop in the middle of a request and stay; a usual client sends some commands at once. */
-final class HalfCommands {
+final class RejectedBatch {
     private static final int BAD_CLIENTS = 250;
     private static final int SENT_OF_HALF = 60_000; // of a command of twice that length
     private static final int ROUNDS = 12;
 
     public static void main(String[] args) {
-        Kit.run(HalfCommands::run);
+        Kit.run(RejectedBatch::run);
     }
 
     private static boolean run() throws Exception {
