Answer or refuse every request of a batch that is half read when the gateway drains

Nothing was reset, so all had been read; client.closed.owing and client.discarded stayed 0. Cause: ClientSession.endInputIfBehind ended the input of a draining session of which more was unread, so that the rest would stay in the socket; but while a request is in flight the session reads on to notice the client's end, and dropped what it read. Evidence: a test that begins the drain at a moment in which a batch is half read behind a request in flight got one answer and "closed". Change: a session that is to close has a pending close. It reads on; complete messages are served, what follows while more is unread is read past and refused with 57P03 (client.refused.drain), and the connection ends once nothing is owed. Where a session ends over messages that were read and have no answer, the close is a reset.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import java.net.InetSocketAddress;
@@ -32,6 +33,7 @@
     /** Whether a client is still there; UNKNOWN: more of its input is unread than can be read now. */
     enum Presence { CONNECTED, LEFT, UNKNOWN }
 
+    private static final String MALFORMED_MESSAGE = "what is no message, or one of an impossible length";
     private static final String ANSWERED_TYPES = "QPBDECSF"; // the types of messages that get an answer
     private static final long DEPARTURE_CHECK_NANOS = 1_000_000; // more than one pass of the event loop
     private static final long MAX_CATCH_UP_NANOS = 50_000_000; // half the time in which a client's end must be noticed
@@ -50,13 +52,11 @@
     private Channel channel;
     private Rpc rpc;
     private Statement statement;
-    private boolean draining;
     private boolean registered;
     private boolean countsAsIdle; // between statements, so that it may be closed for room
     private boolean startupUnreported; // the startup message was received, and more may wait behind it
     private boolean commandReceived; // a message was received after the startup
     private long connectedAt;
-    private boolean inputEnded; // nothing that is read from now on is handled
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
@@ -75,6 +75,11 @@
     private Map<String, String> startupParameters; // null where no client identifier is configured
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
+    /** Why the session closes as soon as its client is owed no answer; null while it goes on. */
+    private CloseReason pendingCloseReason;
+    private long pendingCloseSince;
+    /** Reads on only to notice the client's end: the client has sent without end since the close is pending. */
+    private boolean sendsWithoutEnd;
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
     /** For how long, at most, what this client has sent so far waited to be read; 0 once that is handled. */
     private long backlogWait;
@@ -108,23 +113,37 @@
         ByteBuf bytes = (ByteBuf) message;
         bytesInRead += bytes.readableBytes();
         lastReadWasFull = !bytes.isWritable();
-        if (state == State.CLOSING || inputError != null || inputEnded) {
+        if (state == State.CLOSING || inputError != null) {
             discard(bytes);
             return;
         }
         try {
-            if (isBlocked() && !input.isRefusing() && !mayQueue(bytes.readableBytes())) {
-                input.refuseFurther();
-                updateHeldBack(false);
+            if (!input.isRefusing() && mustRefuse(bytes.readableBytes())) {
+                refuseFurtherInput();
             }
             input.add(bytes.retain());
         } catch (CorruptedFrameException e) {
-            rejectInput("what is no message, or one of an impossible length");
+            rejectInput(MALFORMED_MESSAGE);
         } finally {
             bytes.release();
         }
     }
 
+    /** Whether what is read now may not be kept. */
+    private boolean mustRefuse(int bytes) {
+        return pendingCloseReason != null && behind || isBlocked() && !mayQueue(bytes);
+    }
+
+    /** Refuses the messages that are not complete yet; those that are keep their turn. */
+    private void refuseFurtherInput() {
+        try {
+            input.refuseFurther();
+            updateHeldBack(false);
+        } catch (CorruptedFrameException e) {
+            rejectInput(MALFORMED_MESSAGE);
+        }
+    }
+
     private boolean mayQueue(int bytes) {
         int reserved = input.reservedBytesWith(bytes);
         return reserved <= Limits.MAX_QUEUED_BYTES
@@ -199,6 +218,7 @@
     void rejectUnreadOutput() {
         unreadBytes = 0;
         closing(CloseReason.UNREAD);
+        resetOnClose(); // the rest of its answers is dropped
         channel.close();
     }
 
@@ -221,7 +241,7 @@
 
     /** Whether reading on is of use: not for a client that reads no answers, unless its end has to be noticed. */
     private boolean mayRead() {
-        return output.isWritable() && !inputEnded || isAwaitingOutcome();
+        return output.isWritable() && !sendsWithoutEnd || isAwaitingOutcome();
     }
 
     private boolean canReadOn() {
@@ -251,7 +271,7 @@
     /** What follows once all that can be handled now is. */
     private void workDone() {
         backlogWait = departureChecked ? 0 : backlogWait;
-        closeIfDrained();
+        closeIfAllAnswered();
         closeIfAbandoned();
         if (startupUnreported && state != State.CLOSING) {
             startupUnreported = false;
@@ -309,7 +329,7 @@
         try {
             frame = input.next();
         } catch (CorruptedFrameException e) {
-            rejectInput("what is no message, or one of an impossible length");
+            rejectInput(MALFORMED_MESSAGE);
             return;
         }
         if (frame != null) {
@@ -322,7 +342,7 @@
             input.keepAgain();
         } else if (input.refusedMessages() > 0) {
             input.refusedAnswered();
-            refuseForMemory();
+            refuseUnkept();
         } else if (input.isTerminated()) {
             closeAfterFlush(CloseReason.TERMINATE);
         } else if (inputError != null) {
@@ -349,8 +369,9 @@
     }
 
     private void updateHeldBack(boolean wantsMoreTime) {
-        HeldBack reason = input.isRefusing() ? HeldBack.MEMORY : wantsMoreTime ? HeldBack.TIME
-                : !output.isWritable() ? HeldBack.UNREAD : input.hasPartialMessage() ? HeldBack.INCOMPLETE : null;
+        HeldBack reason = pendingCloseReason != null ? null : input.isRefusing() ? HeldBack.MEMORY
+                : wantsMoreTime ? HeldBack.TIME : !output.isWritable() ? HeldBack.UNREAD
+                : input.hasPartialMessage() ? HeldBack.INCOMPLETE : null;
         if (reason != heldBack && state != State.CLOSING) {
             heldBack = reason;
             gateway.heldBackChanged(this, reason);
@@ -379,7 +400,7 @@
      */
     void sweep(long now, long lingerTimeout) {
         accountOutput();
-        endInputIfBehind();
+        endEndlessInput(now, lingerTimeout);
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
@@ -410,6 +431,11 @@
         return input.reservedBytes();
     }
 
+    /** Whether the last read filled its buffer, so that the socket may hold more. */
+    boolean mayHaveUnreadInput() {
+        return behind;
+    }
+
     /** The messages that were read and not kept, and are still to be answered. */
     long refusedMessages() {
         return input.refusedMessages();
@@ -601,14 +627,22 @@
         }
     }
 
-    /** Answers a statement that memory is short for; nothing of it has run. */
-    private void refuseForMemory() {
+    /** Answers a message that was read and not kept; nothing of it has run. */
+    private void refuseUnkept() {
+        state = State.IDLE; // it may have been the Sync that messages were skipped to
         if (abandonReason != null) {
             write(refusal());
-            return;
+        } else if (pendingCloseReason == CloseReason.DRAIN) {
+            dispatcher.counters.add("client.refused.drain");
+            write(refusal());
+        } else {
+            refuseForMemory();
         }
+    }
+
+    /** Answers a statement that memory is short for; nothing of it has run. */
+    private void refuseForMemory() {
         dispatcher.counters.add("client.refused.memory");
-        state = State.IDLE; // what was refused may have been the Sync that messages were skipped to
         write(pushback("no memory for this statement now; trying again is harmless"));
     }
 
@@ -699,8 +733,7 @@
 
     /** From now on the session closes as soon as its client is owed no answer. */
     void drain() {
-        draining = true;
-        endInputIfBehind();
+        closeWhenAllAnswered(CloseReason.DRAIN);
         if (state == State.AWAITING_READINESS) {
             state = State.IDLE;
             write(refusal());
@@ -708,18 +741,51 @@
         resume();
     }
 
-    /** Ends the input of a draining client of which more is unread: what is not read, it can send again elsewhere. */
-    private void endInputIfBehind() {
-        if (draining && behind && !inputEnded) {
-            inputEnded = true;
-            input.discardFurther();
-            accountInput();
+    /**
+     * Closes the connection as soon as its client is owed no answer. Messages that are complete by now are handled;
+     * while more is unread, what follows them is read and refused, so that nothing that was read stays unanswered.
+     */
+    private void closeWhenAllAnswered(CloseReason reason) {
+        if (pendingCloseReason == null && state != State.CLOSING) {
+            pendingCloseReason = reason;
+            pendingCloseSince = dispatcher.clock.now();
+            if (behind) {
+                refuseFurtherInput();
+                accountInput();
+            }
+        }
+    }
+
+    /**
+     * Stops reading from a client that sends without end although its session is to close. What was read is still
+     * answered; what is not read stays in the socket, so that the client sees a reset.
+     */
+    private void endEndlessInput(long now, long maxNanos) {
+        if (pendingCloseReason != null && behind && now - pendingCloseSince >= maxNanos) {
+            sendsWithoutEnd = true;
+            workChanged();
+        }
+    }
+
+    private void closeIfAllAnswered() {
+        if (pendingCloseReason == null || state == State.CLOSING || isAwaitingOutcome()) {
+            return;
+        }
+        if (sendsWithoutEnd && !hasUnansweredMessage()) {
+            resetOnClose(); // where all of the socket was read after all, its last message is incomplete
+            closeAfterFlush(pendingCloseReason);
+        } else if (!owesAnswer()) {
+            closeAfterFlush(pendingCloseReason);
         }
     }
 
-    private void closeIfDrained() {
-        if (draining && state != State.CLOSING && !isAwaitingOutcome() && !owesAnswer()) {
-            closeAfterFlush(CloseReason.DRAIN);
+    /**
+     * Makes the close of the connection a reset, so that a client whose messages were read and get no answer does not
+     * take the end of its connection for one in order.
+     */
+    private void resetOnClose() {
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
     }
 
@@ -801,7 +867,10 @@
     private void discardWaiting() {
         boolean isOwed = closeReason != null && closeReason.requiresAllAnswered;
         long owed = input.dropMessages();
-        dispatcher.counters.add("client.discarded", isOwed ? owed : 0);
+        if (isOwed && owed > 0) {
+            dispatcher.counters.add("client.discarded", owed);
+            resetOnClose();
+        }
         accountInput();
     }
 
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -110,7 +110,10 @@
 
     // ---- Messages that are refused ----
 
-    /** Keeps no further message; the one that is not complete yet is the first that is refused. */
+    /**
+     * Keeps no further message; the one that is not complete yet is the first that is refused, and its bytes are
+     * released. Without effect before the startup message is complete. Throws as next() does.
+     */
     public void refuseFurther() {
         if (refused != null || expectsUntyped || discarding) {
             return;
@@ -119,6 +122,9 @@
         refused = new RefusedMessages(maxMessageBytes);
         refused.read(received.slice(completeEnd, received.writerIndex() - completeEnd));
         received.writerIndex(completeEnd);
+        if (!received.isReadable()) {
+            clearReceived();
+        }
     }
 
     /** The index behind the last message that is complete, of those before the first malformed one. */
--- /dev/null
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -0,0 +1,190 @@
+package reedquay.net;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reedquay.core.RoutingEngine;
+import reedquay.core.Rpc;
+import reedquay.pg.Messages;
+
+/**
+ * Tests that every request of a batch that was read gets its answer or its refusal, whatever happens to the session
+ * while a part of the batch is unread. A scripted engine holds the first request until then.
+ */
+@Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class PipelinedRequestsTest {
+    private static final int BATCH_REQUESTS = 4;
+    private static final String LARGE_VALUE = "\\x" + "9f".repeat(60 * 1024);
+
+    private ScriptedEngine engine;
+    private Gateway gateway;
+    private InetSocketAddress address;
+    private int nextId = 0x1000;
+
+    private void start() throws IOException {
+        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:9"); // nothing listens there
+        gateway = new Gateway(Configuration.parse(config.toString()),
+                new GatewayComponents((settings, actions) -> newEngine(new ScriptedEngine(actions)), null));
+        address = gateway.start().join();
+    }
+
+    private RoutingEngine newEngine(ScriptedEngine newEngine) {
+        engine = newEngine;
+        return newEngine;
+    }
+
+    @AfterEach void stop() {
+        gateway.stop().join();
+        assertEquals(0, counter("client.closed.owing"));
+        assertEquals(0, counter("client.discarded"));
+    }
+
+    private long counter(String name) {
+        return gateway.counters().join().getOrDefault(name, 0L);
+    }
+
+    private ByteBuf write(String value) {
+        return Messages.query(Unpooled.buffer(), "/* id=" + Integer.toHexString(nextId++)
+                + ",c=order,t=acme,d=3000,k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('k', '" + value
+                + "') RETURNING data");
+    }
+
+    private ByteBuf largeBatch() {
+        ByteBuf batch = Unpooled.buffer();
+        for (int i = 0; i < BATCH_REQUESTS; i++) {
+            ByteBuf message = write(LARGE_VALUE);
+            batch.writeBytes(message);
+            message.release();
+        }
+        return batch;
+    }
+
+    private List<Rpc> heldRpcs() {
+        List<Rpc> held = new ArrayList<>();
+        gateway.runOnEventLoop(() -> held.addAll(engine.held)).join();
+        return held;
+    }
+
+    /** The session of the one RPC that is held. */
+    private ClientSession awaitHeldSession() throws InterruptedException {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); System.nanoTime() < end; Thread.sleep(1)) {
+            List<Rpc> held = heldRpcs();
+            if (held.size() == 1) {
+                return (ClientSession) held.get(0).frontState;
+            }
+        }
+        return fail("the RPC does not arrive");
+    }
+
+    /**
+     * Sends batches until the action has run at a moment in which a part of one is unread; returns how many requests
+     * were sent.
+     */
+    private int runWhileBatchIsHalfRead(BlockingClient client, ClientSession session, Consumer<ClientSession> action)
+            throws Exception {
+        boolean[] done = {false};
+        int requests = 0;
+        while (!done[0]) {
+            ByteBuf batch = largeBatch();
+            requests += BATCH_REQUESTS;
+            Thread writer = new Thread(() -> assertDoesNotThrow(() -> client.send(batch)));
+            writer.start();
+            while (!done[0] && writer.isAlive()) {
+                gateway.runOnEventLoop(() -> {
+                    if (session.mayHaveUnreadInput()) {
+                        action.accept(session);
+                        done[0] = true;
+                    }
+                }).join();
+            }
+            writer.join();
+        }
+        return requests;
+    }
+
+    /** Pushes back all that is held, now and later, until the client has its answers. */
+    private List<String> answers(BlockingClient client, ClientSession session, int count) throws Exception {
+        Thread answering = new Thread(() -> {
+            while (!Thread.interrupted()) {
+                gateway.runOnEventLoop(() -> {
+                    engine.pushBackHeld();
+                    session.resume(); // a session goes on after the batch of its answer, and this is none
+                }).join();
+                Thread.onSpinWait();
+            }
+        });
+        answering.start();
+        List<String> answers = new ArrayList<>();
+        try {
+            while (answers.size() < count && (answers.isEmpty() || !lastOf(answers).endsWith("closed"))) {
+                answers.add(client.readAnswer());
+            }
+        } finally {
+            answering.interrupt();
+            answering.join();
+        }
+        return answers;
+    }
+
+    private static String lastOf(List<String> answers) {
+        return answers.get(answers.size() - 1);
+    }
+
+    private static void assertAllAnswered(List<String> answers) {
+        for (String answer : answers) {
+            assertTrue(answer.equals("E:53300 Z") || answer.equals("E:57P03 Z"), answers.toString());
+        }
+    }
+
+    /**
+     * Prevents the loss of requests at a planned restart: the gateway began to drain while a batch was half read behind
+     * a request in flight, read the rest only to notice the client's end, dropped it, and closed in order.
+     */
+    @Test void batchThatIsHalfReadAtADrainIsAnswered() throws Exception {
+        start();
+        try (BlockingClient client = new BlockingClient(address).startup()) {
+            client.send(write("first"));
+            ClientSession session = awaitHeldSession();
+            int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::drain);
+            List<String> answers = answers(client, session, requests);
+            assertAllAnswered(answers);
+            assertEquals(requests, answers.size());
+            assertEquals("closed", client.readAnswer());
+        }
+        assertEquals(1, counter("client.closed.drain"));
+    }
+
+    /** Prevents a drain that lasts for as long as a client sends: it is given up, and its connection ends. */
+    @Test void clientThatSendsWithoutEndDoesNotHoldUpADrain() throws Exception {
+        start();
+        try (BlockingClient client = new BlockingClient(address).startup()) {
+            client.send(write("first"));
+            ClientSession session = awaitHeldSession();
+            Thread writer = new Thread(() -> assertThrows(IOException.class, () -> {
+                while (true) {
+                    client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(8192));
+                }
+            }));
+            writer.start();
+            gateway.runOnEventLoop(session::drain).join();
+            assertEquals(List.of("E:53300 Z"), answers(client, session, 1));
+            writer.join(); // ends by a failed write alone
+        }
+    }
+}
