Refuse an incomplete message by itself instead of ending its session

Cause: ClientSession.rejectUnfinishedInput treated the message as malformed: further input was read and dropped, though complete requests stood in it, and the session closed. closeHeldBack, which frees descriptors, ended in the same way. A request in flight counted as an incomplete message, and a few bytes of a next message as the buffer of the batch before. Evidence: tests that reject the incomplete message of a half-read batch, without any bad client, got "E:08P01 closed" in the place of all answers behind; 131,072 bytes counted for a request in flight. Change: the message is read past, refused with 53300 once its last byte has come, and the session goes on; its buffer is released at once. A session that closes for its descriptor answers or refuses what was read first. ClientInput.trim gives back the buffer of what was handled. A session asks whether it has work only after its input was accounted for, which may give it an error to send.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -177,6 +177,7 @@
 
     /** Accounts for what the client's input takes of the memory. */
     private void accountInput() {
+        input.trim();
         int reserved = input.reservedBytes();
         boolean waits = input.hasMessage();
         int queued = waits ? reserved : 0;
@@ -194,10 +195,15 @@
     }
 
     @Override public void rejectUnfinishedInput() {
-        dispatcher.counters.add("client.closed.partial");
+        dispatcher.counters.add("client.refused.partial");
         unfinishedBytes = 0;
-        input.discardFurther(); // also where the session closes already
-        rejectInput("a message begun while memory is short");
+        if (state == State.STARTUP || state == State.CLOSING || inputError != null) { // no request is among it
+            input.discardFurther();
+            rejectInput("a message begun while memory is short");
+        } else { // requests may follow the incomplete one, so it is refused by itself, once it has ended
+            refuseFurtherInput();
+            accountInput();
+        }
     }
 
     @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -306,14 +312,13 @@
         }
         servedNanos += now - start;
         output.flush();
-        boolean workIsLeft = channel.isActive() && hasWork();
         if (channel.isActive()) {
             accountOutput();
-            accountInput();
-            noteWorkLeft(workIsLeft, now);
+            accountInput(); // may reject this session's own input, so that it has an error to send
+            noteWorkLeft(hasWork(), now);
             workChanged();
         }
-        return workIsLeft;
+        return channel.isActive() && hasWork();
     }
 
     private void readOn() {
@@ -401,6 +406,7 @@
     void sweep(long now, long lingerTimeout) {
         accountOutput();
         endEndlessInput(now, lingerTimeout);
+        rejectStalledMessage(now, lingerTimeout);
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
@@ -635,6 +641,9 @@
         } else if (pendingCloseReason == CloseReason.DRAIN) {
             dispatcher.counters.add("client.refused.drain");
             write(refusal());
+        } else if (pendingCloseReason != null) {
+            dispatcher.counters.add("client.refused.room");
+            write(pushback("no room for this connection now; trying again is harmless"));
         } else {
             refuseForMemory();
         }
@@ -767,6 +776,13 @@
         }
     }
 
+    /** Gives up an incomplete message that keeps a session from closing for room, once it has taken long. */
+    private void rejectStalledMessage(long now, long maxNanos) {
+        if (pendingCloseReason == CloseReason.ROOM && input.hasPartialMessage() && now - lastProgressAt >= maxNanos) {
+            rejectInput("a session that is held back while descriptors are short");
+        }
+    }
+
     private void closeIfAllAnswered() {
         if (pendingCloseReason == null || state == State.CLOSING || isAwaitingOutcome()) {
             return;
@@ -845,10 +861,14 @@
     /** Ends the session of a client that is held back, to free its descriptor; what it has sent is answered first. */
     void closeHeldBack() {
         dispatcher.counters.add("client.closed.heldback");
-        if (output.isWritable()) {
+        if (!output.isWritable()) {
+            rejectUnreadOutput();
+        } else if (state == State.STARTUP) {
             rejectInput("a session that is held back while descriptors are short");
         } else {
-            rejectUnreadOutput();
+            closeWhenAllAnswered(CloseReason.ROOM);
+            rejectStalledMessage(dispatcher.clock.now(), dispatcher.settings().capabilities().connectTimeout());
+            workChanged();
         }
     }
 
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -13,6 +13,7 @@
  */
 public final class ClientInput {
     private static final int MAX_WASTED_BYTES = 4096; // of a buffer that is kept as it came
+    private static final int MAX_RESERVED_RATIO = 4; // of a buffer to what is kept in it, before it is copied
     private static final int MAX_ENCRYPTION_REQUESTS = 2; // one for TLS, one for GSSAPI, as in PostgreSQL
 
     private final int maxMessageBytes;
@@ -243,6 +244,19 @@
         }
     }
 
+    /** Releases the buffer where nothing is kept in it; copies what is kept to a smaller one where that is little. */
+    public void trim() {
+        int bytes = received.readableBytes();
+        if (bytes == 0) {
+            clearReceived();
+        } else if (received.capacity() > MAX_WASTED_BYTES && received.capacity() / MAX_RESERVED_RATIO > bytes) {
+            ByteBuf smaller = received.alloc().buffer(bytes);
+            smaller.writeBytes(received);
+            received.release();
+            received = smaller;
+        }
+    }
+
     /** Releases all that is kept. */
     public void clear() {
         discarding = true;
