Remember the role of replicas that are removed, for when a list names them primary again

Cause: Router.removeIfGone forgets a member that is gone and unused, and with it that an answer called it a replica; listed again it is of unknown role, for which the list's role of long ago counts. Evidence: RouterTest#replicaThatComesBackIsNoPrimaryByTheListAlone fails on the code before; without the member's absence the fresh read waits there too. Change: route.RemovedReplicas remembers 8,192 removed members that had reported themselves replicas, by a hash of group and id. Where one is forgotten for want of room, every member that is not remembered counts as a replica: the list alone makes none primary. A member that moves to another group and back keeps its role too. RouterTest, RulesTest, RememberedRpcsTest, FairGatewayTest pass.

--- a/src/main/java/reedquay/route/Router.java
+++ b/src/main/java/reedquay/route/Router.java
@@ -176,6 +176,7 @@
     // answers after which earlier ones count half; few, since other gateways change the member's load too
     private static final int RECENT_SAMPLES = 4;
     private static final int MAX_REMEMBERED_SESSIONS = 16_384; // whose last write is remembered
+    private static final int MAX_REMOVED_REPLICAS = 8_192; // whose role is remembered
     private static final int MAX_HELD_RECHECKS = 32; // held RPCs that are rechecked for one group in one batch
 
     private final RoutingActions actions;
@@ -193,6 +194,7 @@
     private final ByteBuffer hashInput = ByteBuffer.allocate(2 * Long.BYTES).order(ByteOrder.LITTLE_ENDIAN);
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final SessionWrites sessionWrites; // null where the gateway does not remember session tokens
+    private final RemovedReplicas removedReplicas = new RemovedReplicas(MAX_REMOVED_REPLICAS);
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::expiresAt).thenComparingLong(Timer::sequence));
@@ -300,12 +302,8 @@
             if (endpoint == null) {
                 endpoints.add(endpoint = new Endpoint(entry.member(), shortestSoftDeadline / 16));
             }
-            if (endpoint.group != group) { // new, or moved: position and role belong to other data
-                endpoint.group.endpoints.remove(endpoint);
-                endpoint.group = group;
-                group.endpoints.add(endpoint);
-                endpoint.position = LoadReport.NO_POSITION;
-                endpoint.resetRole();
+            if (endpoint.group != group) {
+                joinGroup(endpoint, group);
             }
             boolean up = entry.phase() == ListedMember.Phase.UP, becameAccepting = !endpoint.accepting && up;
             endpoint.gone = entry.phase() == ListedMember.Phase.GONE;
@@ -328,6 +326,26 @@
         endpoints.removeIf(this::removeIfGone);
     }
 
+    /** Puts a member that is new, or has moved, into its group: position and role belong to the data of the group. */
+    private void joinGroup(Endpoint endpoint, Group group) {
+        leaveGroup(endpoint);
+        endpoint.group = group;
+        group.endpoints.add(endpoint);
+        endpoint.position = LoadReport.NO_POSITION;
+        endpoint.resetRole();
+        long reportedAt = removedReplicas.listed(group.number, endpoint.member.id);
+        if (reportedAt != RemovedReplicas.NO_REPORT) {
+            endpoint.role = Role.REPLICA;
+            endpoint.roleKnownAt = reportedAt;
+        }
+    }
+
+    private void leaveGroup(Endpoint endpoint) {
+        if (endpoint.group.endpoints.remove(endpoint) && endpoint.role == Role.REPLICA) {
+            removedReplicas.removed(endpoint.group.number, endpoint.member.id, endpoint.roleKnownAt);
+        }
+    }
+
     /**
      * Removes a member that is gone and has nothing in flight. Prevents unbounded growth, which happens when members
      * are replaced all day. One that was sent a call-out within three cold windows stays: rule 4 (the limit on cold
@@ -345,7 +363,8 @@
         }
         endpoint.accepting = false;
         actions.forgetMember(endpoint.member);
-        return endpoint.group.endpoints.remove(endpoint);
+        leaveGroup(endpoint);
+        return true;
     }
 
     @Override public void rpcArrived(Rpc rpc) {
--- a/src/test/java/reedquay/route/RememberedRpcsTest.java
+++ b/src/test/java/reedquay/route/RememberedRpcsTest.java
@@ -9,7 +9,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Tests what is remembered of RPCs after their end, each beside a plain model that forgets nothing. */
+/** Tests what is remembered of RPCs and members after their end, each beside a plain model that forgets nothing. */
 class RememberedRpcsTest {
     /** Prevents a heap that grows with each session that writes; what is forgotten makes no read too old. */
     @Test void sessionWritesAreBoundedAndNeverTooEarly() {
@@ -62,4 +62,35 @@
             assertEquals(isKnown, ids.contains(asked, now));
         }
     }
+
+    /** Prevents a heap that grows with each member that is replaced; what is forgotten makes no former primary one. */
+    @Test void removedReplicasAreBoundedAndNeverUnknownAgain() {
+        SplittableRandom random = new SplittableRandom(54);
+        int maxMembers = 60;
+        RemovedReplicas replicas = new RemovedReplicas(maxMembers);
+        Map<String, Long> model = new HashMap<>(); // report times of all that are removed, by group and id
+        List<String> newestLast = new ArrayList<>();
+        for (long now = 1; now < 100_000; now++) {
+            int group = random.nextInt(3);
+            String id = "m" + random.nextInt(now % 20_000 < 10_000 ? 15 : 2_000);
+            String key = group + "/" + id;
+            if (random.nextBoolean()) {
+                replicas.removed(group, id, now);
+                model.put(key, now);
+                newestLast.remove(key);
+                newestLast.add(key);
+                if (newestLast.size() > maxMembers) {
+                    newestLast.remove(0);
+                }
+                continue;
+            }
+            long reportedAt = replicas.listed(group, id);
+            Long truth = model.remove(key);
+            boolean isRecent = newestLast.remove(key);
+            assertTrue(truth == null || reportedAt != RemovedReplicas.NO_REPORT, key + " counts as a replica");
+            assertTrue(truth == null || !isRecent || reportedAt == truth, key + " is remembered exactly");
+        }
+        RemovedReplicas unused = new RemovedReplicas(maxMembers);
+        assertEquals(RemovedReplicas.NO_REPORT, unused.listed(1, "m1"));
+    }
 }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -930,4 +930,33 @@
                     : front.entry("p", ListedMember.Phase.UP, true, start)));
         }
     }
+
+    /**
+     * Prevents stale fresh reads, which happen when a member that reported itself a replica is gone for a while, comes
+     * back under a list that still names it primary, and the real primary drains: its role was forgotten with it.
+     */
+    @Test void replicaThatComesBackIsNoPrimaryByTheListAlone() {
+        TestFront front = new TestFront(false, true, false, false);
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.FULL, front.up("former", true),
+                front.up("now", false), front.up("next", false)));
+        Rpc write = front.arrive(WRITE, 0);
+        assertEquals("former", front.lastCallOut(write).member.id);
+        front.answer(front.lastCallOut(write), Outcome.MISS, front.now, Role.REPLICA);
+        while (!front.lastCallOut(write).member.id.equals("now")) {
+            front.answer(front.lastCallOut(write), Outcome.MISS, front.now, Role.REPLICA);
+        }
+        front.answer(front.lastCallOut(write), Outcome.OK, front.now, Role.PRIMARY);
+        assertEquals("now", front.serve(FRESH).id);
+        front.advance(10_000); // longer than its call-out counts as a recent one
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.CHANGES,
+                front.entry("former", ListedMember.Phase.GONE, true, 0)));
+        assertFalse(front.members.containsKey("former"));
+        front.advance(10_000);
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.CHANGES,
+                front.entry("former", ListedMember.Phase.UP, true, front.now)));
+        assertEquals("now", front.serve(FRESH).id);
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.CHANGES,
+                front.entry("now", ListedMember.Phase.DRAINING, false, 0)));
+        assertTrue(front.arrive(FRESH, 0).callOuts.isEmpty(), "no member has reported itself primary");
+    }
 }
