Know the id of a statement as open from the moment in which it was read

Cause: Dispatcher.isInFlight knew an id only from the moment in which its request was passed to the routing engine; requests that wait behind another one, for more input, or for a gateway that is not ready were read and not known. Change: sessions.OpenRequestIds knows the owner of each id from reading to the final answer; ClientInput visits each message once while it waits, and RequestIdScanner finds its id.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -17,6 +17,7 @@
 import reedquay.pg.ClientInput;
 import reedquay.pg.Frame;
 import reedquay.pg.Messages;
+import reedquay.sessions.OpenRequestIds;
 
 /**
  * One client's connection: handles its messages in order and has at most one RPC in flight. What arrives is kept as
@@ -60,6 +61,7 @@
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
+    private int openIds; // of statements that wait or are in flight, and were not open before
     private int queuedBytes; // what waiting messages take, as last accounted for
     private int unfinishedBytes; // what an incomplete message reserves, as last accounted for
     private long unreadBytes; // what unread answers take, as last accounted for
@@ -122,6 +124,7 @@
                 refuseFurtherInput();
             }
             input.add(bytes.retain());
+            openNewIds();
         } catch (CorruptedFrameException e) {
             rejectInput(MALFORMED_MESSAGE);
         } finally {
@@ -144,8 +147,37 @@
         }
     }
 
+    /** Notes the ids of the statements that were just read: they are open although their turn has not come. */
+    private void openNewIds() {
+        input.visitNew((type, buffer, start, end) -> {
+            if (type == 'Q') {
+                RequestIdScanner.scan(buffer, start, end, id -> openIds += dispatcher.openIds.open(id, this) ? 1 : 0);
+            }
+        });
+    }
+
+    /** The statement with that id has ended. */
+    void closeId(long id) {
+        openIds -= dispatcher.openIds.close(id, this) ? 1 : 0;
+    }
+
+    /** The ids of the messages that wait are not open any more, since these messages are to be dropped. */
+    private void closeWaitingIds() {
+        if (openIds > 0) {
+            input.visitWaiting((type, buffer, start, end) -> {
+                if (type == 'Q') {
+                    RequestIdScanner.scan(buffer, start, end, this::closeId);
+                }
+            });
+        }
+    }
+
+    private int openIdBytes() {
+        return openIds * OpenRequestIds.BYTES_PER_ID;
+    }
+
     private boolean mayQueue(int bytes) {
-        int reserved = input.reservedBytesWith(bytes);
+        int reserved = input.reservedBytesWith(bytes) + openIdBytes();
         return reserved <= Limits.MAX_QUEUED_BYTES
                 && dispatcher.limits.statementMemory.mayQueue(queuedBytes, reserved - queuedBytes);
     }
@@ -180,7 +212,7 @@
         input.trim();
         int reserved = input.reservedBytes();
         boolean waits = input.hasMessage();
-        int queued = waits ? reserved : 0;
+        int queued = waits ? reserved + openIdBytes() : 0;
         if (queued > queuedBytes) {
             dispatcher.limits.statementMemory.queue(queued - queuedBytes);
         } else if (queued < queuedBytes) {
@@ -342,8 +374,14 @@
             try {
                 handle(frame);
             } finally {
+                if (frame.type == 'Q' && statement == null) { // else it is open until the final answer
+                    RequestIdScanner.scan(frame, this::closeId);
+                }
                 frame.release();
             }
+            if (frame.type == Frame.UNTYPED) {
+                openNewIds();
+            }
             input.keepAgain();
         } else if (input.refusedMessages() > 0) {
             input.refusedAnswered();
@@ -581,7 +619,7 @@
                 throw new Statement.InvalidStatementException("no class has that name");
             }
             parsed.validateFor(method);
-            if (dispatcher.isInFlight(parsed.id)) {
+            if (dispatcher.isOpenElsewhere(parsed.id, this)) {
                 throw new Statement.InvalidStatementException("the id is that of an RPC that is open");
             }
             if (dispatcher.mayHaveRun(parsed.id, method)) {
@@ -735,6 +773,7 @@
         rpc = null;
         if (statement != null) {
             dispatcher.limits.statementMemory.release(statement.group, statement.tenant, statement.memoryCost());
+            statement.scanId(this::closeId);
             statement.release();
             statement = null;
         }
@@ -886,6 +925,7 @@
     /** Drops the messages that wait, and counts those that are owed an answer. */
     private void discardWaiting() {
         boolean isOwed = closeReason != null && closeReason.requiresAllAnswered;
+        closeWaitingIds();
         long owed = input.dropMessages();
         if (isOwed && owed > 0) {
             dispatcher.counters.add("client.discarded", owed);
@@ -906,6 +946,7 @@
         state = State.CLOSING;
         gateway.sessionClosing(this);
         lastProgressAt = dispatcher.clock.now();
+        closeWaitingIds();
         input.clear();
         accountInput();
         channel.config().setAutoRead(true);
@@ -922,6 +963,7 @@
     @Override public void channelInactive(ChannelHandlerContext ctx) {
         closing(CloseReason.CLIENT);
         state = State.CLOSING;
+        closeWaitingIds();
         input.clear();
         output.clear();
         accountInput();
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -32,6 +32,7 @@
 import reedquay.memory.BufferReservations;
 import reedquay.pg.Messages;
 import reedquay.route.PossiblyRunIds;
+import reedquay.sessions.OpenRequestIds;
 import reedquay.time.UnixTimeEstimate;
 
 /**
@@ -60,6 +61,8 @@
     private final RoutingEngine engine;
     private final Map<String, Method> methods = new HashMap<>();
     private final Map<String, Pool> pools = new LinkedHashMap<>();
+    /** The ids of statements that were read and have no final answer yet. */
+    final OpenRequestIds<ClientSession> openIds = new OpenRequestIds<>();
     private final Set<String> loggedWarnings = new HashSet<>();
     private final Map<Long, Rpc> inFlightById = new LinkedHashMap<>(); // RPCs without a final answer, by id
     private final ArrayDeque<Consumer<RoutingEngine>> pendingInputs = new ArrayDeque<>();
@@ -91,6 +94,7 @@
         unixTime = new UnixTimeEstimate(settings.capabilities().connectTimeout());
         engine = engineFactory.apply(settings, this);
         counters.gauge("rpc.inhand", () -> inFlight);
+        counters.gauge("rpc.open", openIds::size);
         counters.gauge("member.known", pools::size);
     }
 
@@ -180,14 +184,20 @@
         afterBatchTasks.addLast(task);
     }
 
-    /** Whether an RPC of that id is still without its final answer, and its client has not left. */
-    boolean isInFlight(long id) {
+    /** Whether a statement of another session with that id is still without its final answer. */
+    boolean isOpenElsewhere(long id, ClientSession session) {
+        ClientSession owner = openIds.owner(id);
         Rpc rpc = inFlightById.get(id);
-        if (rpc != null && ((ClientSession) rpc.frontState).presence() == ClientSession.Presence.LEFT) {
-            counters.add("rpc.clientgone.unread");
-            clientDisconnected(rpc);
+        ClientSession sender = rpc == null ? owner : (ClientSession) rpc.frontState;
+        if (sender != null && sender != session && sender.presence() == ClientSession.Presence.LEFT) {
+            sender.closeId(id); // the session itself learns of its end only after this turn of the event loop
+            if (rpc != null) {
+                counters.add("rpc.clientgone.unread");
+                clientDisconnected(rpc);
+            }
         }
-        return inFlightById.containsKey(id);
+        owner = openIds.owner(id);
+        return owner != null && owner != session || inFlightById.containsKey(id);
     }
 
     /** Whether an earlier RPC of that id may have run, and running it again is not harmless. */
--- a/src/main/java/reedquay/net/Statement.java
+++ b/src/main/java/reedquay/net/Statement.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.LongConsumer;
 import java.util.regex.Pattern;
 import reedquay.core.Method;
 import reedquay.pg.Frame;
@@ -27,7 +28,7 @@
     }
 
     private static final int MAX_NUMBER_DIGITS = 9; // as milliseconds to wait: eleven days
-    private static final int MAX_COMMENT_BYTES = 1024;
+    static final int MAX_COMMENT_BYTES = 1024;
     private static final int OVERHEAD_BYTES = 128; // memory that a statement takes beyond its bytes
     private static final Pattern TOKEN = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     private static final List<String> WRITE_VERBS = List.of("INSERT", "UPDATE", "DELETE");
@@ -165,6 +166,11 @@
         frame = (Frame) frame.copy();
     }
 
+    /** Passes on the id as it was found while the statement waited. */
+    void scanId(LongConsumer ids) {
+        RequestIdScanner.scan(frame, ids);
+    }
+
     /** Releases the copy that keepCopy has made. */
     void release() {
         frame.release();
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.CorruptedFrameException;
-import java.util.function.IntConsumer;
 
 /**
  * What a client has sent and nobody has handled yet, as the bytes received: a message takes nothing but its bytes until
@@ -12,6 +11,13 @@
  * counted, from the next one that is not complete until all that wait have been handled.
  */
 public final class ClientInput {
+    /** Visits messages that wait. */
+    public interface MessageVisitor {
+        /** A message of that type, whose body lies between the indexes of the buffer; valid during the call. */
+        void visit(byte type, ByteBuf buffer, int bodyStart, int bodyEnd);
+    }
+
+    private static final MessageVisitor IGNORE = (type, buffer, bodyStart, bodyEnd) -> { };
     private static final int MAX_WASTED_BYTES = 4096; // of a buffer that is kept as it came
     private static final int MAX_RESERVED_RATIO = 4; // of a buffer to what is kept in it, before it is copied
     private static final int MAX_ENCRYPTION_REQUESTS = 2; // one for TLS, one for GSSAPI, as in PostgreSQL
@@ -19,6 +25,7 @@
     private final int maxMessageBytes;
     private ByteBuf received = Unpooled.EMPTY_BUFFER;
     private RefusedMessages refused; // null while messages are kept
+    private int scannedBytes; // of those that are kept, from the first: their messages were passed to a visitor
     private boolean expectsUntyped = true;
     private int encryptionRequests;
     private boolean discarding;
@@ -77,6 +84,7 @@
         }
         byte type = expectsUntyped ? Frame.UNTYPED : received.getByte(received.readerIndex());
         Frame frame = new Frame(type, received.readRetainedSlice(length));
+        scannedBytes = Math.max(0, scannedBytes - length);
         if (expectsUntyped) {
             expectsUntyped = isEncryptionRequest(frame);
             if (expectsUntyped && ++encryptionRequests > MAX_ENCRYPTION_REQUESTS) {
@@ -109,6 +117,23 @@
         }
     }
 
+    /** Visits the messages that are complete and have not been visited by this method before, after the startup. */
+    public void visitNew(MessageVisitor visitor) {
+        if (!expectsUntyped) {
+            scannedBytes = walk(received.readerIndex() + scannedBytes, visitor) - received.readerIndex();
+        }
+    }
+
+    /** Visits the messages that visitNew() has visited and that still wait. */
+    public void visitWaiting(MessageVisitor visitor) {
+        int unscanned = received.readerIndex() + scannedBytes;
+        walk(received.readerIndex(), (type, buffer, start, end) -> {
+            if (end <= unscanned) {
+                visitor.visit(type, buffer, start, end);
+            }
+        });
+    }
+
     // ---- Messages that are refused ----
 
     /**
@@ -130,20 +155,21 @@
 
     /** The index behind the last message that is complete, of those before the first malformed one. */
     private int completeEnd() {
-        return walk(type -> { });
+        return walk(received.readerIndex(), IGNORE);
     }
 
-    /** Passes on the type of each message that is complete; returns the index behind the last one. */
-    private int walk(IntConsumer types) {
-        int index = received.readerIndex();
+    /** Visits each message that is complete, from the index on; returns the index behind the last one. */
+    private int walk(int start, MessageVisitor visitor) {
+        int index = start;
         try {
             while (true) {
                 int length = MessageHeader.length(received, index, false, MessageHeader.CLIENT_TYPES, maxMessageBytes);
                 if (length == MessageHeader.INCOMPLETE || index + 1 + length > received.writerIndex()) {
                     return index;
                 }
-                types.accept(received.getByte(index));
-                index += 1 + length;
+                int end = index + 1 + length;
+                visitor.visit(received.getByte(index), received, index + MessageHeader.BYTES, end);
+                index = end;
             }
         } catch (CorruptedFrameException e) {
             return index;
@@ -154,7 +180,7 @@
     public boolean hasMessageOfType(String types) {
         boolean[] found = {refusedMessages() > 0};
         if (!expectsUntyped) {
-            walk(type -> found[0] |= types.indexOf(type) >= 0);
+            walk(received.readerIndex(), (type, buffer, start, end) -> found[0] |= types.indexOf(type) >= 0);
         }
         return found[0];
     }
@@ -165,7 +191,9 @@
             return 0;
         }
         long[] queries = {refusedMessages()};
-        received.readerIndex(walk(type -> queries[0] += type == 'Q' ? 1 : 0));
+        received.readerIndex(walk(received.readerIndex(),
+                (type, buffer, start, end) -> queries[0] += type == 'Q' ? 1 : 0));
+        scannedBytes = 0;
         refused = null;
         return queries[0];
     }
@@ -265,6 +293,7 @@
     }
 
     private void clearReceived() {
+        scannedBytes = 0;
         received.release();
         received = Unpooled.EMPTY_BUFFER;
     }
--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -53,6 +53,7 @@
         gateway.stop().join();
         assertEquals(0, counter("client.closed.owing"));
         assertEquals(0, counter("client.discarded"));
+        assertEquals(0, counter("rpc.open"));
     }
 
     private long counter(String name) {
@@ -146,8 +147,9 @@
         return answers.get(answers.size() - 1);
     }
 
-    /** Whether all are refusals, with or without a time to come back. */
-    private static void assertAllRefused(List<String> answers) {
+    /** As many answers as expected, all of them refusals, with or without a time to come back. */
+    private static void assertRefused(List<String> answers, int expected) {
+        assertEquals(expected, answers.size(), answers.toString());
         assertTrue(answers.stream().allMatch(answer -> answer.matches("E:(53300|57P03)(:[0-9]+)? Z")),
                 answers.toString());
     }
@@ -162,9 +164,7 @@
             client.send(write("first"));
             ClientSession session = awaitHeldSession();
             int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::drain);
-            List<String> answers = answers(client, session, requests);
-            assertAllRefused(answers);
-            assertEquals(requests, answers.size());
+            assertRefused(answers(client, session, requests), requests);
             assertEquals("closed", client.readAnswer());
         }
         assertEquals(1, counter("client.closed.drain"));
@@ -198,9 +198,7 @@
             client.send(write("first"));
             ClientSession session = awaitHeldSession();
             int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::rejectUnfinishedInput);
-            List<String> answers = answers(client, session, requests);
-            assertAllRefused(answers);
-            assertEquals(requests, answers.size());
+            assertRefused(answers(client, session, requests), requests);
             assertEquals("C Z", client.ask("SET x = 1"));
         }
     }
@@ -212,9 +210,7 @@
             client.send(write("first"));
             ClientSession session = awaitHeldSession();
             int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::closeHeldBack);
-            List<String> answers = answers(client, session, requests);
-            assertAllRefused(answers);
-            assertEquals(requests, answers.size());
+            assertRefused(answers(client, session, requests), requests);
             assertEquals("closed", client.readAnswer());
         }
     }
@@ -229,4 +225,61 @@
             assertEquals(List.of("E:53300 Z"), answers(client, session, 1));
         }
     }
+
+    /** Asks with the id of the statement that is written next; returns the error, or that it was accepted. */
+    private String askWithNextId(BlockingClient other) throws Exception {
+        int held = heldRpcs().size();
+        int id = nextId;
+        other.send(write("other"));
+        nextId = id;
+        while (other.in.available() == 0) {
+            if (heldRpcs().size() > held) {
+                return "accepted";
+            }
+            Thread.sleep(1);
+        }
+        return other.readAnswer();
+    }
+
+    /**
+     * Prevents that another client is served under the id of a request that was read and waits: ids were known only
+     * from the moment in which their request was passed to the routing engine.
+     */
+    @Test void idOfARequestThatWaitsBehindAnotherIsOpen() throws Exception {
+        start();
+        try (BlockingClient client = new BlockingClient(address).startup();
+                BlockingClient other = new BlockingClient(address).startup()) {
+            client.send(write("first"));
+            ClientSession session = awaitHeldSession();
+            client.send(write("second").writeBytes(write("third")));
+            while (counter("rpc.open") < 3) {
+                Thread.sleep(1);
+            }
+            nextId -= 2; // the second one's id
+            assertEquals("E:42601 Z", askWithNextId(other));
+            nextId++;
+            assertEquals("E:42601 Z", askWithNextId(other));
+            assertRefused(answers(client, session, 3), 3);
+            assertEquals("accepted", askWithNextId(other), "after the final answer the id is not open");
+        }
+    }
+
+    /** Prevents the same while a request waits until the gateway is ready; the id ends with its client. */
+    @Test void idOfARequestThatWaitsForTheGatewayIsOpen() throws Exception {
+        start();
+        try (BlockingClient client = new BlockingClient(address).startup();
+                BlockingClient other = new BlockingClient(address).startup()) {
+            client.send(Messages.query(Unpooled.buffer(), "").writeBytes(write("first"))); // not ready without a list
+            while (counter("rpc.open") < 1) {
+                Thread.sleep(1);
+            }
+            nextId--;
+            assertEquals("E:42601 Z", askWithNextId(other));
+            client.close();
+            while (counter("rpc.open") > 0) {
+                Thread.sleep(1);
+            }
+            assertEquals("accepted", askWithNextId(other), "its client has left");
+        }
+    }
 }
--- a/src/test/java/reedquay/pg/ClientInputTest.java
+++ b/src/test/java/reedquay/pg/ClientInputTest.java
@@ -174,4 +174,34 @@
         assertThrows(CorruptedFrameException.class, input::next);
         input.clear();
     }
+
+    /** Prevents that a message that waits is noted twice or never, whatever is read, taken and refused meanwhile. */
+    @Test void visitsEachMessageOnceWhileItWaits() {
+        SplittableRandom random = new SplittableRandom(50);
+        for (int run = 0; run < RUNS; run++) {
+            ByteBuf stream = randomStream(random);
+            ClientInput input = new ClientInput(MAX_LENGTH);
+            List<String> waiting = new ArrayList<>();
+            boolean malformed = false;
+            while (!malformed && stream.isReadable()) {
+                int bytes = Math.min(stream.readableBytes(), 1 + random.nextInt(run % 2 == 0 ? 200 : 4_000));
+                boolean refuse = random.nextInt(8) == 0;
+                malformed = !add(input, ByteBufAllocator.DEFAULT.buffer(bytes).writeBytes(stream, bytes), refuse);
+                input.visitNew((type, buffer, start, end) -> waiting.add((char) type + ":" + (end - start)));
+                List<String> visited = new ArrayList<>();
+                input.visitWaiting((type, buffer, start, end) -> visited.add((char) type + ":" + (end - start)));
+                assertEquals(waiting, visited);
+                for (int i = random.nextInt(5); i > 0 && !malformed; i--) {
+                    List<String> taken = new ArrayList<>();
+                    malformed = take(input, taken, 1);
+                    taken.stream().filter(message -> message.charAt(0) != Frame.UNTYPED && !message.equals("malformed"))
+                            .forEach(message -> assertEquals(waiting.remove(0), message));
+                    input.visitNew((type, buffer, start, end) -> waiting.add((char) type + ":" + (end - start)));
+                }
+                input.trim();
+            }
+            input.clear();
+            stream.release();
+        }
+    }
 }
