Bound what a statement keeps on the heap, and refuse for memory before its text is read

Cause: a statement kept the first text in quotes as a String, however long, in no account: memoryCost() counted its message alone, which lies in direct memory. Change: net.ClientName names a session by its key up to 64 bytes and by a hash beyond; memoryCost() counts the texts that are kept.

--- a/src/main/java/reedquay/net/ClientIdentifier.java
+++ b/src/main/java/reedquay/net/ClientIdentifier.java
@@ -22,10 +22,10 @@
     /** The client's id, unique within its kind; null where only the tenant is known. */
     String identify(ClientSession session, Statement statement) {
         return switch (kind) {
-            case KEY -> statement.session;
+            case KEY -> statement.session();
             case CONNECTION -> session.connectionId();
             case ADDRESS -> session.clientAddress();
-            case PARAMETER -> session.startupParameter(parameter);
+            case PARAMETER -> session.identifyingParameter();
             case TENANT -> null;
         };
     }
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -10,7 +10,6 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import reedquay.core.Method;
 import reedquay.core.Rpc;
@@ -74,7 +73,7 @@
     private HeldBack heldBack; // null while it is not
     private long workLeftSince = NONE_LEFT; // since then the event loop's time was never enough
     private long servedNanos; // the event loop's time that it has had
-    private Map<String, String> startupParameters; // null where no client identifier is configured
+    private String identifyingParameter; // of the startup message; null where none identifies clients
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
     /** Why the session closes as soon as its client is owed no answer; null while it goes on. */
@@ -571,7 +570,7 @@
                     return;
                 }
                 state = State.IDLE;
-                startupParameters = gateway.clientIdentifier() == null ? null : frame.startupParameters();
+                identifyingParameter = findIdentifyingParameter(frame);
                 startupUnreported = true;
                 write(Messages.readyForQuery(Messages.startupResponse(buffer(), 1, 1)));
             }
@@ -611,34 +610,17 @@
             write(refusal());
             return;
         }
-        Statement parsed;
         try {
-            parsed = new Statement(frame);
-            Method method = dispatcher.method(parsed.method);
-            if (method == null) {
-                throw new Statement.InvalidStatementException("no class has that name");
-            }
-            parsed.validateFor(method);
-            if (dispatcher.isOpenElsewhere(parsed.id, this)) {
-                throw new Statement.InvalidStatementException("the id is that of an RPC that is open");
-            }
-            if (dispatcher.mayHaveRun(parsed.id, method)) {
-                write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "58000",
-                        "a statement with this id may have run already", null)));
-                return;
-            }
+            statement = holdStatement(frame);
         } catch (Statement.InvalidStatementException e) {
             dispatcher.counters.add("client.unfit");
             dispatcher.logOnce("rejected a client's statement that cannot be routed: " + e.getMessage());
             write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "42601", e.getMessage(), null)));
-            return;
         }
-        if (!dispatcher.limits.statementMemory.tryHold(parsed.group, parsed.tenant, parsed.memoryCost())) {
-            refuseForMemory();
-            return;
+        if (statement == null) {
+            return; // it is answered
         }
-        parsed.keepCopy(); // released with the final answer
-        statement = parsed;
+        statement.keepCopy(); // released with the final answer
         if (behind) {
             state = State.CATCHING_UP;
             catchingUpSince = dispatcher.clock.now();
@@ -647,6 +629,35 @@
         }
     }
 
+    /** The statement, with memory held for it; null where it is answered with a refusal instead. */
+    private Statement holdStatement(Frame frame) throws Statement.InvalidStatementException {
+        Statement parsed = new Statement(frame);
+        Method method = dispatcher.method(parsed.method);
+        if (method == null) {
+            throw new Statement.InvalidStatementException("no class has that name");
+        }
+        parsed.validateFor(method);
+        if (dispatcher.isOpenElsewhere(parsed.id, this)) {
+            throw new Statement.InvalidStatementException("the id is that of an RPC that is open");
+        }
+        if (dispatcher.mayHaveRun(parsed.id, method)) {
+            write(Messages.readyForQuery(Messages.errorResponse(buffer(), "ERROR", "58000",
+                    "a statement with this id may have run already", null)));
+            return null;
+        }
+        if (!dispatcher.limits.statementMemory.tryHold(parsed.group, parsed.tenant, parsed.memoryCost())) {
+            refuseForMemory();
+            return null;
+        }
+        try {
+            parsed.parseSql(); // reads all of it, so what is refused for memory does not cost that
+        } catch (Statement.InvalidStatementException e) {
+            dispatcher.limits.statementMemory.release(parsed.group, parsed.tenant, parsed.memoryCost());
+            throw e;
+        }
+        return parsed;
+    }
+
     /** waited: for how long the statement may have waited since it could have been read. */
     private void submitRpc(long waited) {
         state = State.IN_FLIGHT;
@@ -731,9 +742,15 @@
         return channel.remoteAddress() + " (" + connectionId() + ")";
     }
 
-    /** A parameter of the startup message; null where it has none of that name or parameters are not kept. */
-    String startupParameter(String name) {
-        return startupParameters == null ? null : startupParameters.get(name);
+    private String findIdentifyingParameter(Frame startup) {
+        ClientIdentifier identifier = gateway.clientIdentifier();
+        boolean isWanted = identifier != null && identifier.kind() == ClientIdentifier.Kind.PARAMETER;
+        return isWanted ? ClientName.of(startup.startupParameters().get(identifier.parameter())) : null;
+    }
+
+    /** The parameter of the startup message that identifies the client; null where there is none. */
+    String identifyingParameter() {
+        return identifyingParameter;
     }
 
     Statement statement() {
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -245,7 +245,7 @@
                 : unixTime.toLocal(reports.position(statement.minPositionMillis, false));
         long tokenAge = statement.minPositionMillis == 0 ? 0 : Math.max(1, now - minPosition); // 0 means no token
         Method method = methods.get(statement.method); // its deadline limits the time that the client says it will wait
-        Rpc rpc = new Rpc(statement.id, statement.group, statement.session,
+        Rpc rpc = new Rpc(statement.id, statement.group, statement.session(),
                 Math.min(now + Math.min(statement.waitMillis * 1_000_000, method.deadline()) - waited, answerDeadline),
                 statement.retry, tokenAge, statement.tenant, method);
         rpc.frontState = session;
--- a/src/main/java/reedquay/net/Statement.java
+++ b/src/main/java/reedquay/net/Statement.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HexFormat;
@@ -29,7 +27,7 @@
 
     private static final int MAX_NUMBER_DIGITS = 9; // as milliseconds to wait: eleven days
     static final int MAX_COMMENT_BYTES = 1024;
-    private static final int OVERHEAD_BYTES = 128; // memory that a statement takes beyond its bytes
+    private static final int OVERHEAD_BYTES = 384; // objects that a statement takes beyond its bytes and texts
     private static final Pattern TOKEN = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     private static final List<String> WRITE_VERBS = List.of("INSERT", "UPDATE", "DELETE");
 
@@ -37,7 +35,7 @@
     final long id;
     final String method;
     final String tenant;
-    final String session;
+    private String session;
     final int group;
     final long waitMillis;
     final boolean retry;
@@ -48,7 +46,10 @@
     private final int waitDigitsStart;
     private final int waitDigitsEnd;
 
-    /** Parses the frame, which the caller still owns. Throws InvalidStatementException for the first error. */
+    /**
+     * Parses the leading comment of the frame, which the caller still owns. Throws InvalidStatementException for the
+     * first error.
+     */
     Statement(Frame frame) throws InvalidStatementException {
         this.frame = frame;
         ByteBuf content = frame.content();
@@ -104,61 +105,30 @@
             throw new InvalidStatementException("expected a short plain token in k");
         }
         sqlOffset = end + 2;
-        session = parseSingleStatement();
+        if (frame.bodyLength() <= sqlOffset || content.getByte(content.writerIndex() - 1) != 0) {
+            throw new InvalidStatementException("expected a statement that ends with a zero byte");
+        }
     }
 
     /**
-     * Checks that the body is one statement, and returns its key, the first text in quotes. Rejects what would make a
-     * member close the connection, and with it all that is pending there: bytes that are not text, more or less than
-     * one statement, an unterminated quote, no key.
+     * Checks that the body is one statement, and names its session by its key, the first text in quotes. Rejects what
+     * would make a member close the connection, and with it all that is pending there: bytes that are not text, more
+     * or less than one statement, an unterminated quote, no key. It reads the whole statement, so it comes last.
      */
-    private String parseSingleStatement() throws InvalidStatementException {
+    void parseSql() throws InvalidStatementException {
         ByteBuf content = frame.content();
-        int start = frame.bodyStart() + sqlOffset;
-        int end = content.writerIndex() - 1;
-        if (end < start || content.getByte(end) != 0) {
-            throw new InvalidStatementException("expected a statement that ends with a zero byte");
-        }
-        StatementScanner scanner = new StatementScanner();
-        boolean complete = content.forEachByte(start, end - start, scanner) < 0;
-        boolean isText = complete
-                ? scanner.ascii || ByteBufUtil.isText(content, start, end - start, StandardCharsets.UTF_8)
-                : scanner.ended;
-        if (!isText) {
-            throw new InvalidStatementException("expected text");
-        } else if (!complete) {
-            throw new InvalidStatementException("expected a single statement");
-        } else if (scanner.quoted || scanner.keyEnd < 0) {
-            throw new InvalidStatementException("expected a key in quotes");
+        SqlScanner scanner = new SqlScanner();
+        switch (scanner.scan(content, frame.bodyStart() + sqlOffset, content.writerIndex() - 1)) {
+            case NO_TEXT -> throw new InvalidStatementException("expected text");
+            case SEVERAL_STATEMENTS -> throw new InvalidStatementException("expected a single statement");
+            case NO_KEY -> throw new InvalidStatementException("expected a key in quotes");
+            case VALID -> session = ClientName.of(content, scanner.keyStart(), scanner.keyEnd());
         }
-        return content.toString(start + scanner.keyStart, scanner.keyEnd - scanner.keyStart, StandardCharsets.UTF_8);
     }
 
-    /** One pass over a statement's bytes; stops at a control character, or at a byte after the statement's end. */
-    private static final class StatementScanner implements ByteProcessor {
-        boolean quoted, ended, ascii = true;
-        int keyStart = -1; // of the first text in quotes
-        int keyEnd = -1;
-        private int offset = -1;
-
-        @Override public boolean process(byte character) {
-            offset++;
-            ascii &= character >= 0;
-            if (character >= 0 && character < ' ' && character != '\t' && character != '\n' && character != '\r') {
-                ended = false;
-                return false;
-            }
-            if (ended && character > ' ') {
-                return false;
-            }
-            if (character == '\'') {
-                quoted = !quoted;
-                keyStart = keyStart < 0 ? offset + 1 : keyStart;
-                keyEnd = !quoted && keyEnd < 0 ? offset : keyEnd;
-            }
-            ended |= !quoted && character == ';';
-            return true;
-        }
+    /** The statement's session; null before parseSql(). */
+    String session() {
+        return session;
     }
 
     /** Keeps a copy of the statement's bytes in a buffer of their size, which has to be released. */
@@ -176,9 +146,14 @@
         frame.release();
     }
 
-    /** The bytes of memory that the statement takes. */
+    /** The bytes of memory that the statement takes: its message, and what is kept of it on the heap. */
     int memoryCost() {
-        return frame.content().readableBytes() + OVERHEAD_BYTES;
+        return frame.content().readableBytes() + OVERHEAD_BYTES
+                + Character.BYTES * (length(method) + length(tenant) + ClientName.MAX_BYTES + length(token));
+    }
+
+    private static int length(String text) {
+        return text == null ? 0 : text.length();
     }
 
     /** Throws InvalidStatementException where the statement does not have the form that RPCs of this method have. */
