Understand member lists that come indented over several lines

Change: net.ListAssembler follows brackets and strings over lines. What cannot be a list ends in the same error as before; an empty line within a list, or a whole list within another, means that it was cut off.

--- a/src/main/java/reedquay/net/DiscoveryClient.java
+++ b/src/main/java/reedquay/net/DiscoveryClient.java
@@ -3,8 +3,6 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -36,7 +34,7 @@
  */
 final class DiscoveryClient implements MembershipReconciler.Actions {
     private static final long HEARTBEAT_NANOS = 2_000_000_000; // agents send an empty line if nothing changes
-    private static final int MAX_LINE_BYTES = 4 << 20;
+    private static final int MAX_LIST_BYTES = 4 << 20;
 
     private final Dispatcher dispatcher;
     private final Connector connector;
@@ -127,25 +125,28 @@
         dispatcher.log(message);
     }
 
-    // ---- Lines ----
+    // ---- Lists ----
 
     /** The parts of an entry that the reconciler does not read. */
     private record Attributes(InetSocketAddress address, String zone, String machineType, int group, boolean primary,
             double weight) { }
 
-    private void processLine(Watch watch, String line) {
+    private void processList(Watch watch, JsonObject list) {
+        ListUpdate update;
         try {
-            if (line.isBlank()) {
-                reconcilerNow().heartbeatReceived(watch);
-            } else {
-                reconcilerNow().updateReceived(watch, parseList(JsonParser.parseString(line).getAsJsonObject(), false));
-            }
-        } catch (JsonParseException | IllegalStateException | ClassCastException | IllegalArgumentException
+            update = parseList(list, false);
+        } catch (IllegalStateException | ClassCastException | IllegalArgumentException
                 | UnsupportedOperationException e) {
-            dispatcher.counters.add("discovery.unreadable");
-            dispatcher.logOnce("discovery sent a list that cannot be parsed; keeping the previous list");
-            reconcilerNow().failed(watch);
+            rejectList(watch);
+            return;
         }
+        reconcilerNow().updateReceived(watch, update);
+    }
+
+    private void rejectList(Watch watch) {
+        dispatcher.counters.add("discovery.unreadable");
+        dispatcher.logOnce("discovery sent a list that cannot be parsed; keeping the previous list");
+        reconcilerNow().failed(watch);
     }
 
     private ListUpdate parseList(JsonObject list, boolean cached) {
@@ -165,7 +166,10 @@
     }
 
     private Entry parseEntry(JsonObject instance) {
-        String id = instance.get("instanceId").getAsString();
+        String id = stringOrEmpty(instance, "instanceId");
+        if (id.isEmpty()) {
+            throw new IllegalArgumentException("an entry of the member list has no field \"instanceId\"");
+        }
         ListedMember.Phase phase = switch (stringOrEmpty(instance, "lifecycle")) {
             case "ready" -> ListedMember.Phase.UP;
             case "draining" -> ListedMember.Phase.DRAINING;
@@ -190,9 +194,10 @@
         return value == null || value.isJsonNull() ? "" : value.getAsString();
     }
 
-    /** The connection of one watch. The agent answers with a chunked body that holds one JSON object per line. */
-    private final class WatchHandler extends ChannelInboundHandlerAdapter {
+    /** The connection of one watch. The agent answers with a chunked body of member lists and empty lines. */
+    private final class WatchHandler extends ChannelInboundHandlerAdapter implements ListAssembler.Listener {
         private final Watch watch;
+        private final ListAssembler lists = new ListAssembler(MAX_LIST_BYTES, this);
         private Channel channel;
         private ByteBuf received;
 
@@ -240,16 +245,28 @@
                     end = received.bytesBefore((byte) '\n')) {
                 String line = received.readCharSequence(end, StandardCharsets.UTF_8).toString();
                 received.skipBytes(1);
-                processLine(watch, line);
+                lists.addLine(line);
             }
-            if (received.readableBytes() > MAX_LINE_BYTES) {
+            if (received.readableBytes() + lists.pendingCharacters() > MAX_LIST_BYTES) {
                 dispatcher.logOnce(
-                        "discovery sent a line longer than " + MAX_LINE_BYTES + " bytes; closing the connection");
+                        "discovery sent a list longer than " + MAX_LIST_BYTES + " bytes; closing the connection");
                 reconcilerNow().failed(watch);
             }
             received.discardSomeReadBytes();
         }
 
+        @Override public void heartbeat() {
+            reconcilerNow().heartbeatReceived(watch);
+        }
+
+        @Override public void list(JsonObject object) {
+            processList(watch, object);
+        }
+
+        @Override public void malformed() {
+            rejectList(watch);
+        }
+
         void close() {
             if (channel != null) {
                 channel.close();
--- a/src/test/java/reedquay/net/DiscoveryClientTest.java
+++ b/src/test/java/reedquay/net/DiscoveryClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.*;
 
+import com.google.gson.GsonBuilder;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -169,6 +170,27 @@
         await(() -> members.server("two").statements.size() > statementsBefore);
     }
 
+    /** Prevents that a list which comes indented is never understood, so that a drain is missed. */
+    @Test void drainInAnIndentedListIsApplied() throws Exception {
+        var indented = new GsonBuilder().setPrettyPrinting().create();
+        firstAgent.sendBytewise(indented.toJson(JsonParser.parseString(list(6, false, "two draining"))));
+        assertDrained("two");
+        firstAgent.sendBytewise("");
+        firstAgent.sendAtOnce(indented.toJson(JsonParser.parseString(list(7, true, "one ready", "two ready"))));
+        int statementsBefore = members.server("two").statements.size();
+        await(() -> members.server("two").statements.size() > statementsBefore);
+        assertEquals(0, counter("discovery.unreadable"));
+    }
+
+    /** Prevents silence after a list that was cut off: the watch is opened anew, and what was cut off comes again. */
+    @Test void watchWhoseListIsCutOffIsOpenedAnew() throws Exception {
+        firstAgent.sendAtOnce("{\"generation\":6,\"instances\":[{\"instanceId\":\"two\",");
+        firstAgent.sendAtOnce("");
+        firstAgent.awaitWatch().sendAtOnce(list(6, false, "two draining"));
+        assertDrained("two");
+        assertEquals(1, counter("discovery.unreadable"));
+    }
+
     /** Each agent sends its line in one write, the new agent first; the gateway may read them in either order. */
     @Test void drainHoldsWhicheverAgentsLineIsReadFirst() throws Exception {
         moveToSecondAgent();
