Ask a discovery agent again beside a watch that gets no first answer

Cause: MembershipReconciler gave a watch without its first answer the time-out of one that was answered, three heartbeats, though an agent answers at once where it can. Change: while the current address has answered none of its watches, another is opened beside them after half a heartbeat, then after twice that; none is given up, since an agent may be slow, and the first one answered closes the others.

--- a/src/main/java/reedquay/members/MembershipReconciler.java
+++ b/src/main/java/reedquay/members/MembershipReconciler.java
@@ -81,8 +81,7 @@
         new Transition(State.CONNECTING, Input.CONNECTED, ALWAYS, State.REQUESTED, NO_ACTION),
         // closed at once: before the request is sent the agent cannot have reported anything
         new Transition(State.CONNECTING, Input.ADDRESS_LEFT, ALWAYS, State.CLOSED, MembershipReconciler::closeWatch),
-        new Transition(State.REQUESTED, Input.LINE_RECEIVED, ALWAYS, State.ACTIVE,
-                MembershipReconciler::resetReopenDelay),
+        new Transition(State.REQUESTED, Input.LINE_RECEIVED, ALWAYS, State.ACTIVE, MembershipReconciler::firstAnswered),
         // stays open: the agent's answer may be in transit
         new Transition(State.REQUESTED, Input.ADDRESS_LEFT, ALWAYS, State.SUPERSEDED,
                 MembershipReconciler::limitWatches),
@@ -133,6 +132,8 @@
 
         /** Whether data from this watch is still to be read. */
         public boolean isOpen() { return state != State.CLOSED; }
+
+        private boolean isUnanswered() { return state == State.CONNECTING || state == State.REQUESTED; }
     }
 
     /** What is in force for one member, and the highest generation that has named it. */
@@ -143,13 +144,14 @@
     private static final int MAX_DEPARTED = 4096; // departed members that are remembered across a generation reset
 
     private final Actions actions;
-    private final long heartbeatInterval, silenceTimeout, initialReopenDelay, maxReopenDelay;
+    private final long heartbeatInterval, silenceTimeout, initialAnswerTimeout, initialReopenDelay, maxReopenDelay;
     private final List<Watch> watches = new ArrayList<>(); // open ones, the oldest first
     private final Map<String, KnownMember> members = new LinkedHashMap<>();
     private final Map<String, Long> departedStartTimes = new LinkedHashMap<>(); // by id, the latest departures
     private Object currentAddress;
     private long generation = NO_GENERATION; // every change up to this generation has been received
-    private long now, reopenDelay;
+    private long now, reopenDelay, openedAt; // openedAt: the last watch
+    private long answerTimeout; // after which another watch is opened beside those that have received nothing
     private boolean listReceived, reopenScheduled, closed;
 
     /** For agents whose changes bind the gateway only once received: the reopen delay grows to one heartbeat. */
@@ -167,6 +169,8 @@
         this.heartbeatInterval = heartbeatInterval;
         this.actions = actions;
         silenceTimeout = 3 * heartbeatInterval;
+        initialAnswerTimeout = heartbeatInterval / 2;
+        answerTimeout = initialAnswerTimeout;
         maxReopenDelay = Math.max(1, Math.min(heartbeatInterval, drainGrace / 2));
         initialReopenDelay = Math.min(heartbeatInterval / 20, maxReopenDelay);
         reopenDelay = initialReopenDelay;
@@ -191,6 +195,7 @@
         }
         currentAddress = newAddress;
         reopenDelay = initialReopenDelay;
+        answerTimeout = initialAnswerTimeout;
         Watch reusedWatch = null;
         for (Watch watch : new ArrayList<>(watches)) {
             boolean atNewAddress = watch.address.equals(newAddress);
@@ -231,7 +236,10 @@
     /** The connection was closed or could not be opened, or delivered data that cannot be parsed. */
     public void failed(Watch watch) { handle(watch, Input.FAILED); }
 
-    /** Closes each watch that stays connected but has received nothing, heartbeats included, for too long. */
+    /**
+     * Closes each watch that stays connected but has received nothing, heartbeats included, for too long; opens another
+     * one beside those that have not received their first answer.
+     */
     public void closeSilentWatches() {
         for (Watch watch : new ArrayList<>(watches)) {
             if (now - watch.lastReceivedAt >= silenceTimeout) {
@@ -239,6 +247,22 @@
                 handle(watch, Input.TIMED_OUT);
             }
         }
+        if (isUnanswered() && now - openedAt >= answerTimeout && watches.size() < MAX_WATCHES) {
+            actions.incrementCounter("unanswered");
+            answerTimeout = Math.min(2 * answerTimeout, silenceTimeout);
+            openWatch();
+        }
+    }
+
+    /**
+     * Whether the current address is watched and has not answered any of its watches. Prevents drains that are learnt
+     * too late, which happen when a new watch falls silent before its first answer, and the agent, which answers at
+     * once where it can, is asked again only after the whole time that an answered watch may be silent. The watches
+     * before stay open, since an agent may be slow.
+     */
+    private boolean isUnanswered() {
+        List<Watch> current = watches.stream().filter(watch -> watch.address.equals(currentAddress)).toList();
+        return !current.isEmpty() && current.stream().allMatch(Watch::isUnanswered);
     }
 
     /** Closes all watches for good. */
@@ -283,6 +307,7 @@
     private void openWatch() {
         if (!closed && currentAddress != null) {
             Watch watch = new Watch(currentAddress, now);
+            openedAt = now;
             watches.add(watch);
             actions.incrementCounter("watches");
             actions.openWatch(watch);
@@ -290,7 +315,21 @@
     }
 
     /** Called when a line is received: a connection that opens but delivers nothing does not reset the delay. */
-    private void resetReopenDelay(Watch watch) { reopenDelay = initialReopenDelay; }
+    private void resetReopenDelay(Watch watch) {
+        reopenDelay = initialReopenDelay;
+        answerTimeout = initialAnswerTimeout;
+    }
+
+    /** The first line of a watch: those beside it on the same agent that have received nothing are not needed. */
+    private void firstAnswered(Watch watch) {
+        resetReopenDelay(watch);
+        for (Watch other : new ArrayList<>(watches)) {
+            if (other.isUnanswered() && other.address.equals(watch.address)) {
+                other.state = State.CLOSED;
+                closeWatch(other);
+            }
+        }
+    }
 
     private void closeWatch(Watch watch) {
         watches.remove(watch);
--- a/src/test/java/reedquay/members/MembershipReconcilerTest.java
+++ b/src/test/java/reedquay/members/MembershipReconcilerTest.java
@@ -321,6 +321,64 @@
         assertEquals(9, front.opened.size(), "nothing is opened after close");
     }
 
+    /**
+     * Prevents a drain from being learnt later than 4 s after a move, which happens when the first watch of the new
+     * agent stays silent, and the agent is asked again only once that watch has timed out.
+     */
+    @Test void agentIsAskedAgainBesideAWatchWithoutItsFirstAnswer() {
+        RecordingFront front = new RecordingFront();
+        Watch old = front.watch("a");
+        front.after(1).updateReceived(old, full(5, up("m", 1)));
+        Watch silent = front.watch("b");
+        long movedAt = front.now;
+        for (int i = 0; i < 40 && front.opened.size() < 4; i++) {
+            front.after(100).closeSilentWatches();
+        }
+        assertTrue(front.now - movedAt < 2 * HEARTBEAT_NANOS, "asked again only after " + (front.now - movedAt));
+        assertTrue(silent.isOpen(), "a slow agent may still answer the first request");
+        Watch third = front.opened.get(3);
+        front.after(1).connected(front.opened.get(2));
+        front.after(1).connected(third);
+        front.after(1).updateReceived(third, changes(6, draining("m", 1)));
+        assertEquals(Phase.DRAINING, front.phaseOf("m"));
+        assertFalse(silent.isOpen() || front.opened.get(2).isOpen(), "one watch of the agent is enough");
+        assertTrue(old.isOpen(), "what the old agent has written counts");
+        front.after(1500).heartbeatReceived(third);
+        front.after(1500).closeSilentWatches();
+        assertEquals(4, front.opened.size(), "an agent that has answered is not asked again");
+    }
+
+    /** Prevents that an agent that is slow to answer is never heard: no watch is given up for its first answer. */
+    @Test void firstWatchOfASlowAgentIsUsedWhenItAnswers() {
+        RecordingFront front = new RecordingFront();
+        Watch first = front.watch("a");
+        for (int i = 0; i < 35; i++) {
+            front.after(100).closeSilentWatches();
+        }
+        assertTrue(front.opened.size() > 2);
+        front.after(1).updateReceived(first, full(5, up("m", 1)));
+        assertEquals(Phase.UP, front.phaseOf("m"));
+        assertTrue(first.isOpen());
+        assertEquals(front.opened.size() - 1, front.closed.size());
+    }
+
+    /** Prevents a flood of watches on an agent that is down for long. */
+    @Test void watchesOfASilentAgentAreFew() {
+        RecordingFront front = new RecordingFront();
+        front.watch("a");
+        for (int i = 0; i < 600; i++) {
+            int opened = front.opened.size();
+            front.after(100).closeSilentWatches();
+            if (front.reopenAt >= 0 && front.now >= front.reopenAt) {
+                front.reopenAt = -1;
+                front.after(0).reopenTimerExpired();
+            }
+            front.opened.subList(opened, front.opened.size()).forEach(watch -> front.after(0).connected(watch));
+            assertTrue(front.opened.size() - front.closed.size() <= 3);
+        }
+        assertTrue(front.opened.size() < 25, front.opened.size() + " watches in a minute");
+    }
+
     /** Operators read these names in the output of SHOW discovery. */
     @Test void shownStateNamesAreFixed() {
         assertEquals(List.of("connecting", "asked", "followed", "leaving", "ended"),
