--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -28,17 +29,22 @@
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class PipelinedRequestsTest {
     private static final int BATCH_REQUESTS = 4;
+    private static final int CROWD = 60;
+    private static final int ROUNDS = 4;
+    private static final int SHORT_MEMORY_MB = 16;
     private static final String LARGE_VALUE = "\\x" + "9f".repeat(60 * 1024);
 
     private ScriptedEngine engine;
     private Gateway gateway;
     private InetSocketAddress address;
     private int nextId = 0x1000;
+    private int memoryMb = 192;
 
     private void start() throws IOException {
         JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
         config.addProperty("listen", "127.0.0.1:0");
         config.addProperty("discovery", "127.0.0.1:9"); // nothing listens there
+        config.getAsJsonObject("limits").addProperty("memory_mb", memoryMb);
         gateway = new Gateway(Configuration.parse(config.toString()),
                 new GatewayComponents((settings, actions) -> newEngine(new ScriptedEngine(actions)), null));
         address = gateway.start().join();
@@ -282,4 +288,47 @@
             assertEquals("accepted", askWithNextId(other), "its client has left");
         }
     }
+
+    /**
+     * Prevents the loss of usual clients' requests where they themselves use up the memory: each request of a batch
+     * gets its answer or its refusal, whatever of it is kept, held, or given up while it is incomplete.
+     */
+    @Test void everyRequestOfManyLargeBatchesIsAnswered() throws Exception {
+        memoryMb = SHORT_MEMORY_MB;
+        start();
+        List<Thread> clients = new ArrayList<>();
+        AtomicInteger answered = new AtomicInteger();
+        AtomicInteger failed = new AtomicInteger();
+        for (int i = 0; i < CROWD; i++) {
+            clients.add(new Thread(() -> {
+                try (BlockingClient client = new BlockingClient(address).startup()) {
+                    for (int round = 0; round < ROUNDS; round++) {
+                        ByteBuf batch;
+                        synchronized (this) {
+                            batch = largeBatch();
+                        }
+                        client.send(batch);
+                        for (int request = 0; request < BATCH_REQUESTS; request++) {
+                            assertRefused(List.of(client.readAnswer()), 1);
+                            answered.incrementAndGet();
+                        }
+                    }
+                } catch (IOException | AssertionError e) {
+                    failed.incrementAndGet();
+                }
+            }));
+        }
+        clients.forEach(Thread::start);
+        while (clients.stream().anyMatch(Thread::isAlive)) {
+            gateway.runOnEventLoop(() -> {
+                List<Rpc> held = List.copyOf(engine.held);
+                engine.pushBackHeld();
+                held.forEach(rpc -> ((ClientSession) rpc.frontState).resume());
+            }).join();
+            Thread.sleep(5);
+        }
+        assertEquals(0, failed.get());
+        assertEquals(CROWD * ROUNDS * BATCH_REQUESTS, answered.get());
+        assertTrue(counter("client.refused.partial") > 0, "memory for incomplete messages was short");
+    }
 }
