Judge endless senders at a drain by the time before it; drop what gets no answer

Cause: a client counted as sending without end only after one connect time-out of the drain itself, and until then its megabytes of unread messages were read past and counted, for all 300 clients at once. Its messages that wait are not handled where none of them gets an answer. What is left at the very end is looked at for 1,000 messages a session at most.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -68,6 +68,7 @@
     private boolean lastReadWasFull; // so that the socket may hold more
     private boolean lastReadWasEmpty;
     private boolean behind; // the socket may hold more, which is read when the session is served
+    private long behindSince; // while it is
     private long discardedBytes; // after a fatal error
     private long catchingUpSince;
     private HeldBack heldBack; // null while it is not
@@ -78,8 +79,7 @@
     private CloseReason closeReason; // null while the connection is open
     /** Why the session closes as soon as its client is owed no answer; null while it goes on. */
     private CloseReason pendingCloseReason;
-    private long pendingCloseSince;
-    /** Reads on only to notice the client's end: the client has sent without end since the close is pending. */
+    /** Reads on only to notice the client's end: the close is pending, and the client sends without end. */
     private boolean sendsWithoutEnd;
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
     /** For how long, at most, what this client has sent so far waited to be read; 0 once that is handled. */
@@ -197,7 +197,9 @@
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         lastReadWasEmpty = bytesInRead == 0;
-        behind = !lastReadWasEmpty && lastReadWasFull;
+        boolean mayHoldMore = !lastReadWasEmpty && lastReadWasFull;
+        behindSince = behind && mayHoldMore ? behindSince : dispatcher.clock.now();
+        behind = mayHoldMore;
         bytesInRead = 0;
         if (!isBlocked()) {
             input.keepAgain();
@@ -307,6 +309,7 @@
 
     /** What follows once all that can be handled now is. */
     private void workDone() {
+        workLeftSince = NONE_LEFT;
         backlogWait = departureChecked ? 0 : backlogWait;
         closeIfAllAnswered();
         closeIfAbandoned();
@@ -329,6 +332,7 @@
     boolean serve(long start, long allowance) {
         long now = start;
         try {
+            closeIfAllAnswered(); // also where messages wait that get no answer
             while (now - start < allowance && channel.isActive() && hasWork()) {
                 if (canHandleMessage()) {
                     handleNext();
@@ -813,20 +817,22 @@
     private void closeWhenAllAnswered(CloseReason reason) {
         if (pendingCloseReason == null && state != State.CLOSING) {
             pendingCloseReason = reason;
-            pendingCloseSince = dispatcher.clock.now();
             if (behind) {
                 refuseFurtherInput();
                 accountInput();
             }
+            endEndlessInput(dispatcher.clock.now(), dispatcher.settings().capabilities().connectTimeout());
         }
     }
 
     /**
-     * Stops reading from a client that sends without end although its session is to close. What was read is still
-     * answered; what is not read stays in the socket, so that the client sees a reset.
+     * Stops reading from a client whose session is to close and whose input has had no end for long. What was read is
+     * still answered; what is not read stays in the socket, so that the client sees a reset.
      */
     private void endEndlessInput(long now, long maxNanos) {
-        if (pendingCloseReason != null && behind && now - pendingCloseSince >= maxNanos) {
+        boolean isEndless = behind && now - behindSince >= maxNanos
+                || hasWork() && workLeftSince != NONE_LEFT && now - workLeftSince >= maxNanos;
+        if (pendingCloseReason != null && isEndless) {
             sendsWithoutEnd = true;
             workChanged();
         }
@@ -840,11 +846,12 @@
     }
 
     private void closeIfAllAnswered() {
-        if (pendingCloseReason == null || state == State.CLOSING || isAwaitingOutcome()) {
+        boolean hasErrorToSend = inputError != null;
+        if (pendingCloseReason == null || state == State.CLOSING || isAwaitingOutcome() || hasErrorToSend) {
             return;
         }
-        if (sendsWithoutEnd && !hasUnansweredMessage()) {
-            resetOnClose(); // where all of the socket was read after all, its last message is incomplete
+        if (sendsWithoutEnd && !owesAnswerToMessage()) { // what waits gets no answer, so it need not be handled
+            resetOnClose();
             closeAfterFlush(pendingCloseReason);
         } else if (!owesAnswer()) {
             closeAfterFlush(pendingCloseReason);
@@ -943,11 +950,11 @@
     private void discardWaiting() {
         boolean isOwed = closeReason != null && closeReason.requiresAllAnswered;
         closeWaitingIds();
-        long owed = input.dropMessages();
-        if (isOwed && owed > 0) {
-            dispatcher.counters.add("client.discarded", owed);
+        if (isOwed && (input.hasMessage() || input.refusedMessages() > 0)) {
             resetOnClose();
         }
+        long owed = input.dropMessages();
+        dispatcher.counters.add("client.discarded", isOwed ? owed : 0);
         accountInput();
     }
 
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -18,6 +18,7 @@
     }
 
     private static final MessageVisitor IGNORE = (type, buffer, bodyStart, bodyEnd) -> { };
+    private static final int MAX_EXAMINED = 1_000; // messages, where only those that are dropped are counted
     private static final int MAX_WASTED_BYTES = 4096; // of a buffer that is kept as it came
     private static final int MAX_RESERVED_RATIO = 4; // of a buffer to what is kept in it, before it is copied
     private static final int MAX_ENCRYPTION_REQUESTS = 2; // one for TLS, one for GSSAPI, as in PostgreSQL
@@ -120,14 +121,15 @@
     /** Visits the messages that are complete and have not been visited by this method before, after the startup. */
     public void visitNew(MessageVisitor visitor) {
         if (!expectsUntyped) {
-            scannedBytes = walk(received.readerIndex() + scannedBytes, visitor) - received.readerIndex();
+            int end = walk(received.readerIndex() + scannedBytes, Integer.MAX_VALUE, visitor);
+            scannedBytes = end - received.readerIndex();
         }
     }
 
     /** Visits the messages that visitNew() has visited and that still wait. */
     public void visitWaiting(MessageVisitor visitor) {
         int unscanned = received.readerIndex() + scannedBytes;
-        walk(received.readerIndex(), (type, buffer, start, end) -> {
+        walk(received.readerIndex(), Integer.MAX_VALUE, (type, buffer, start, end) -> {
             if (end <= unscanned) {
                 visitor.visit(type, buffer, start, end);
             }
@@ -155,14 +157,14 @@
 
     /** The index behind the last message that is complete, of those before the first malformed one. */
     private int completeEnd() {
-        return walk(received.readerIndex(), IGNORE);
+        return walk(received.readerIndex(), Integer.MAX_VALUE, IGNORE);
     }
 
-    /** Visits each message that is complete, from the index on; returns the index behind the last one. */
-    private int walk(int start, MessageVisitor visitor) {
+    /** Visits the messages that are complete, from the index on; returns the index behind the last one visited. */
+    private int walk(int start, int maxMessages, MessageVisitor visitor) {
         int index = start;
         try {
-            while (true) {
+            for (int visited = 0; visited < maxMessages; visited++) {
                 int length = MessageHeader.length(received, index, false, MessageHeader.CLIENT_TYPES, maxMessageBytes);
                 if (length == MessageHeader.INCOMPLETE || index + 1 + length > received.writerIndex()) {
                     return index;
@@ -171,6 +173,7 @@
                 visitor.visit(received.getByte(index), received, index + MessageHeader.BYTES, end);
                 index = end;
             }
+            return index;
         } catch (CorruptedFrameException e) {
             return index;
         }
@@ -178,23 +181,36 @@
 
     /** Whether any message that is complete has one of these types, a letter each, or was refused. */
     public boolean hasMessageOfType(String types) {
-        boolean[] found = {refusedMessages() > 0};
-        if (!expectsUntyped) {
-            walk(received.readerIndex(), (type, buffer, start, end) -> found[0] |= types.indexOf(type) >= 0);
+        if (refusedMessages() > 0 || expectsUntyped) {
+            return refusedMessages() > 0;
+        }
+        boolean[] found = {false};
+        int index = received.readerIndex();
+        for (int next = index; !found[0]; index = next) {
+            next = walk(index, 1, (type, buffer, start, end) -> found[0] = types.indexOf(type) >= 0);
+            if (next == index) {
+                break;
+            }
         }
         return found[0];
     }
 
-    /** Drops all messages that are complete, after the startup; returns how many queries were among them. */
+    /**
+     * Drops all messages that are complete, after the startup; returns how many queries were among the first of them.
+     * Does not look at all of them, since at an end there may be no time for that.
+     */
     public long dropMessages() {
         if (expectsUntyped) {
             return 0;
         }
         long[] queries = {refusedMessages()};
-        received.readerIndex(walk(received.readerIndex(),
+        received.readerIndex(walk(received.readerIndex(), MAX_EXAMINED,
                 (type, buffer, start, end) -> queries[0] += type == 'Q' ? 1 : 0));
         scannedBytes = 0;
         refused = null;
+        if (hasMessage()) {
+            clear();
+        }
         return queries[0];
     }
 
