Never judge a client that waits for answers as one that sends without end

A usual client's batch was read so slowly that its reads were full for one connect time-out, which counted as input without end.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -68,11 +68,11 @@
     private boolean lastReadWasFull; // so that the socket may hold more
     private boolean lastReadWasEmpty;
     private boolean behind; // the socket may hold more, which is read when the session is served
-    private long behindSince; // while it is
     private long discardedBytes; // after a fatal error
     private long catchingUpSince;
     private HeldBack heldBack; // null while it is not
     private long workLeftSince = NONE_LEFT; // since then the event loop's time was never enough
+    private long endlessSince = NONE_LEFT; // since then it always had work of its own, and waited for no answer
     private long servedNanos; // the event loop's time that it has had
     private String identifyingParameter; // of the startup message; null where none identifies clients
     private String clientAddress;
@@ -197,9 +197,7 @@
 
     @Override public void channelReadComplete(ChannelHandlerContext ctx) {
         lastReadWasEmpty = bytesInRead == 0;
-        boolean mayHoldMore = !lastReadWasEmpty && lastReadWasFull;
-        behindSince = behind && mayHoldMore ? behindSince : dispatcher.clock.now();
-        behind = mayHoldMore;
+        behind = !lastReadWasEmpty && lastReadWasFull;
         bytesInRead = 0;
         if (!isBlocked()) {
             input.keepAgain();
@@ -310,6 +308,7 @@
     /** What follows once all that can be handled now is. */
     private void workDone() {
         workLeftSince = NONE_LEFT;
+        endlessSince = NONE_LEFT;
         backlogWait = departureChecked ? 0 : backlogWait;
         closeIfAllAnswered();
         closeIfAbandoned();
@@ -406,6 +405,11 @@
 
     /** Notes whether work was left when the session was last served. */
     private void noteWorkLeft(boolean workIsLeft, long now) {
+        if (!workIsLeft || isAwaitingOutcome()) {
+            endlessSince = NONE_LEFT;
+        } else if (endlessSince == NONE_LEFT) {
+            endlessSince = now;
+        }
         if (!workIsLeft) {
             workLeftSince = NONE_LEFT;
         } else if (workLeftSince == NONE_LEFT) {
@@ -446,7 +450,7 @@
      */
     void sweep(long now, long lingerTimeout) {
         accountOutput();
-        endEndlessInput(now, lingerTimeout);
+        endEndlessInput();
         rejectStalledMessage(now, lingerTimeout);
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
@@ -821,17 +825,18 @@
                 refuseFurtherInput();
                 accountInput();
             }
-            endEndlessInput(dispatcher.clock.now(), dispatcher.settings().capabilities().connectTimeout());
+            endEndlessInput();
         }
     }
 
     /**
      * Stops reading from a client whose session is to close and whose input has had no end for long. What was read is
-     * still answered; what is not read stays in the socket, so that the client sees a reset.
+     * still answered; what is not read stays in the socket, so that the client sees a reset. A client that waits for
+     * answers is none of these, however slowly its batch is read.
      */
-    private void endEndlessInput(long now, long maxNanos) {
-        boolean isEndless = behind && now - behindSince >= maxNanos
-                || hasWork() && workLeftSince != NONE_LEFT && now - workLeftSince >= maxNanos;
+    private void endEndlessInput() {
+        boolean isEndless = hasWork() && endlessSince != NONE_LEFT
+                && System.nanoTime() - endlessSince >= Limits.UNUSED_TIMEOUT_NANOS;
         if (pendingCloseReason != null && isEndless) {
             sendsWithoutEnd = true;
             workChanged();
