--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -3,22 +3,16 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import reedquay.core.RoutingEngine;
 import reedquay.core.Rpc;
 import reedquay.pg.Messages;
 
@@ -27,43 +21,20 @@
  * while a part of the batch is unread. A scripted engine holds the first request until then.
  */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class PipelinedRequestsTest {
+class PipelinedRequestsTest extends ScriptedGateway {
     private static final int BATCH_REQUESTS = 4;
     private static final int CROWD = 60;
     private static final int ROUNDS = 4;
     private static final int SHORT_MEMORY_MB = 16;
     private static final String LARGE_VALUE = "\\x" + "9f".repeat(60 * 1024);
 
-    private ScriptedEngine engine;
-    private Gateway gateway;
-    private InetSocketAddress address;
-    private int nextId = 0x1000;
-    private int memoryMb = 192;
+    private BlockingClient client;
+    private ClientSession session;
 
-    private void start() throws IOException {
-        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
-        config.addProperty("listen", "127.0.0.1:0");
-        config.addProperty("discovery", "127.0.0.1:9"); // nothing listens there
-        config.getAsJsonObject("limits").addProperty("memory_mb", memoryMb);
-        gateway = new Gateway(Configuration.parse(config.toString()),
-                new GatewayComponents((settings, actions) -> newEngine(new ScriptedEngine(actions)), null));
-        address = gateway.start().join();
-    }
-
-    private RoutingEngine newEngine(ScriptedEngine newEngine) {
-        engine = newEngine;
-        return newEngine;
-    }
-
-    @AfterEach void stop() {
-        gateway.stop().join();
-        assertEquals(0, counter("client.closed.owing"));
-        assertEquals(0, counter("client.discarded"));
-        assertEquals(0, counter("rpc.open"));
-    }
-
-    private long counter(String name) {
-        return gateway.counters().join().getOrDefault(name, 0L);
+    @AfterEach void closeClient() throws IOException {
+        if (client != null) {
+            client.close();
+        }
     }
 
     private ByteBuf write(String value) {
@@ -82,31 +53,23 @@
         return batch;
     }
 
-    private List<Rpc> heldRpcs() {
-        List<Rpc> held = new ArrayList<>();
-        gateway.runOnEventLoop(() -> held.addAll(engine.held)).join();
-        return held;
-    }
-
-    /** The session of the one RPC that is held. */
-    private ClientSession awaitHeldSession() throws InterruptedException {
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); System.nanoTime() < end; Thread.sleep(1)) {
-            List<Rpc> held = heldRpcs();
-            if (held.size() == 1) {
-                return (ClientSession) held.get(0).frontState;
-            }
-        }
-        return fail("the RPC does not arrive");
+    /** Starts a gateway and a client whose first request, with that value, is held. */
+    private void startWithRequestInFlight(String value) throws Exception {
+        start(configuration(), null);
+        client = connect();
+        client.send(write(value));
+        awaitHeld(1);
+        gateway.runOnEventLoop(() -> session = (ClientSession) engine.held.get(0).frontState).join();
     }
 
     /**
-     * Sends batches until the action has run at a moment in which a part of one is unread; returns how many requests
-     * were sent.
+     * Sends batches behind a request in flight until the action has run at a moment in which a part of one is unread;
+     * each request has to be refused then.
      */
-    private int runWhileBatchIsHalfRead(BlockingClient client, ClientSession session, Consumer<ClientSession> action)
-            throws Exception {
+    private void assertAllRefusedAfter(Consumer<ClientSession> action) throws Exception {
+        startWithRequestInFlight("first");
         boolean[] done = {false};
-        int requests = 0;
+        int requests = 1;
         while (!done[0]) {
             ByteBuf batch = largeBatch();
             requests += BATCH_REQUESTS;
@@ -122,11 +85,11 @@
             }
             writer.join();
         }
-        return requests;
+        assertRefused(answers(requests), requests);
     }
 
     /** Pushes back all that is held, now and later, until the client has its answers. */
-    private List<String> answers(BlockingClient client, ClientSession session, int count) throws Exception {
+    private List<String> answers(int count) throws Exception {
         Thread answering = new Thread(() -> {
             while (!Thread.interrupted()) {
                 gateway.runOnEventLoop(() -> {
@@ -165,33 +128,23 @@
      * a request in flight, read the rest only to notice the client's end, dropped it, and closed in order.
      */
     @Test void batchThatIsHalfReadAtADrainIsAnswered() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup()) {
-            client.send(write("first"));
-            ClientSession session = awaitHeldSession();
-            int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::drain);
-            assertRefused(answers(client, session, requests), requests);
-            assertEquals("closed", client.readAnswer());
-        }
+        assertAllRefusedAfter(ClientSession::drain);
+        assertEquals("closed", client.readAnswer());
         assertEquals(1, counter("client.closed.drain"));
     }
 
     /** Prevents a drain that lasts for as long as a client sends: it is given up, and its connection ends. */
     @Test void clientThatSendsWithoutEndDoesNotHoldUpADrain() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup()) {
-            client.send(write("first"));
-            ClientSession session = awaitHeldSession();
-            Thread writer = new Thread(() -> assertThrows(IOException.class, () -> {
-                while (true) {
-                    client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(8192));
-                }
-            }));
-            writer.start();
-            gateway.runOnEventLoop(session::drain).join();
-            assertEquals(List.of("E:53300 Z"), answers(client, session, 1));
-            writer.join(); // ends by a failed write alone
-        }
+        startWithRequestInFlight("first");
+        Thread writer = new Thread(() -> assertThrows(IOException.class, () -> {
+            while (true) {
+                client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(8192));
+            }
+        }));
+        writer.start();
+        gateway.runOnEventLoop(session::drain).join();
+        assertEquals(List.of("E:53300 Z"), answers(1));
+        writer.join(); // ends by a failed write alone
     }
 
     /**
@@ -199,47 +152,31 @@
      * while memory was short, and those behind it were read, dropped, and followed by an end in order.
      */
     @Test void batchIsAnsweredWhereOneOfItsMessagesIsRejectedWhileIncomplete() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup()) {
-            client.send(write("first"));
-            ClientSession session = awaitHeldSession();
-            int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::rejectUnfinishedInput);
-            assertRefused(answers(client, session, requests), requests);
-            assertEquals("C Z", client.ask("SET x = 1"));
-        }
+        assertAllRefusedAfter(ClientSession::rejectUnfinishedInput);
+        assertEquals("C Z", client.ask("SET x = 1"));
     }
 
     /** Prevents the same loss where a session is ended to free its descriptor while a batch is half read. */
     @Test void batchOfASessionThatIsClosedForRoomIsAnswered() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup()) {
-            client.send(write("first"));
-            ClientSession session = awaitHeldSession();
-            int requests = 1 + runWhileBatchIsHalfRead(client, session, ClientSession::closeHeldBack);
-            assertRefused(answers(client, session, requests), requests);
-            assertEquals("closed", client.readAnswer());
-        }
+        assertAllRefusedAfter(ClientSession::closeHeldBack);
+        assertEquals("closed", client.readAnswer());
     }
 
     /** Prevents that requests in flight count as incomplete messages and are given up in the place of those. */
     @Test void requestInFlightTakesNothingOfTheMemoryForIncompleteMessages() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup()) {
-            client.send(write(LARGE_VALUE));
-            ClientSession session = awaitHeldSession();
-            assertEquals(0, counter("client.partialbytes"));
-            assertEquals(List.of("E:53300 Z"), answers(client, session, 1));
-        }
+        startWithRequestInFlight(LARGE_VALUE);
+        assertEquals(0, counter("client.partialbytes"));
+        assertEquals(List.of("E:53300 Z"), answers(1));
     }
 
     /** Asks with the id of the statement that is written next; returns the error, or that it was accepted. */
     private String askWithNextId(BlockingClient other) throws Exception {
-        int held = heldRpcs().size();
+        long taken = counter("rpc.taken");
         int id = nextId;
         other.send(write("other"));
         nextId = id;
         while (other.in.available() == 0) {
-            if (heldRpcs().size() > held) {
+            if (counter("rpc.taken") > taken) {
                 return "accepted";
             }
             Thread.sleep(1);
@@ -252,39 +189,30 @@
      * from the moment in which their request was passed to the routing engine.
      */
     @Test void idOfARequestThatWaitsBehindAnotherIsOpen() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup();
-                BlockingClient other = new BlockingClient(address).startup()) {
-            client.send(write("first"));
-            ClientSession session = awaitHeldSession();
-            client.send(write("second").writeBytes(write("third")));
-            while (counter("rpc.open") < 3) {
-                Thread.sleep(1);
-            }
+        startWithRequestInFlight("first");
+        client.send(write("second").writeBytes(write("third")));
+        awaitCounter("rpc.open", 3);
+        try (BlockingClient other = connect()) {
             nextId -= 2; // the second one's id
             assertEquals("E:42601 Z", askWithNextId(other));
             nextId++;
             assertEquals("E:42601 Z", askWithNextId(other));
-            assertRefused(answers(client, session, 3), 3);
+            assertRefused(answers(3), 3);
             assertEquals("accepted", askWithNextId(other), "after the final answer the id is not open");
         }
     }
 
     /** Prevents the same while a request waits until the gateway is ready; the id ends with its client. */
     @Test void idOfARequestThatWaitsForTheGatewayIsOpen() throws Exception {
-        start();
-        try (BlockingClient client = new BlockingClient(address).startup();
-                BlockingClient other = new BlockingClient(address).startup()) {
-            client.send(Messages.query(Unpooled.buffer(), "").writeBytes(write("first"))); // not ready without a list
-            while (counter("rpc.open") < 1) {
-                Thread.sleep(1);
-            }
+        start(configuration(), null);
+        client = connect();
+        client.send(Messages.query(Unpooled.buffer(), "").writeBytes(write("first"))); // not ready without a list
+        awaitCounter("rpc.open", 1);
+        try (BlockingClient other = connect()) {
             nextId--;
             assertEquals("E:42601 Z", askWithNextId(other));
             client.close();
-            while (counter("rpc.open") > 0) {
-                Thread.sleep(1);
-            }
+            awaitCounter("client.closed.client", 1);
             assertEquals("accepted", askWithNextId(other), "its client has left");
         }
     }
@@ -294,22 +222,23 @@
      * gets its answer or its refusal, whatever of it is kept, held, or given up while it is incomplete.
      */
     @Test void everyRequestOfManyLargeBatchesIsAnswered() throws Exception {
-        memoryMb = SHORT_MEMORY_MB;
-        start();
+        JsonObject config = configuration();
+        config.getAsJsonObject("limits").addProperty("memory_mb", SHORT_MEMORY_MB);
+        start(config, null);
         List<Thread> clients = new ArrayList<>();
         AtomicInteger answered = new AtomicInteger();
         AtomicInteger failed = new AtomicInteger();
         for (int i = 0; i < CROWD; i++) {
             clients.add(new Thread(() -> {
-                try (BlockingClient client = new BlockingClient(address).startup()) {
+                try (BlockingClient crowdClient = connect()) {
                     for (int round = 0; round < ROUNDS; round++) {
                         ByteBuf batch;
                         synchronized (this) {
                             batch = largeBatch();
                         }
-                        client.send(batch);
+                        crowdClient.send(batch);
                         for (int request = 0; request < BATCH_REQUESTS; request++) {
-                            assertRefused(List.of(client.readAnswer()), 1);
+                            assertRefused(List.of(crowdClient.readAnswer()), 1);
                             answered.incrementAndGet();
                         }
                     }
--- a/src/test/java/reedquay/net/SessionClosingTest.java
+++ b/src/test/java/reedquay/net/SessionClosingTest.java
@@ -3,20 +3,13 @@
 import static org.junit.jupiter.api.Assertions.*;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import reedquay.core.RoutingEngine;
 import reedquay.pg.Messages;
 
 /**
@@ -24,54 +17,15 @@
  * decides when RPCs are answered, so that no test depends on timing.
  */
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class SessionClosingTest {
+class SessionClosingTest extends ScriptedGateway {
     private static final int SOCKETS = 128;
 
-    private ScriptedEngine engine;
-    private Gateway gateway;
-    private InetSocketAddress address;
-    private int nextId = 0x1000;
-
-    private static JsonObject configuration() throws IOException {
-        JsonObject config = JsonParser.parseString(Files.readString(Path.of("example/config.json"))).getAsJsonObject();
-        config.addProperty("listen", "127.0.0.1:0");
-        config.addProperty("discovery", "127.0.0.1:9"); // nothing listens there
+    private static JsonObject limitedConfiguration() throws IOException {
+        JsonObject config = configuration();
         config.getAsJsonObject("limits").addProperty("sockets", SOCKETS);
         return config;
     }
 
-    private void start(JsonObject config, ClientIdentifier identifier) {
-        gateway = new Gateway(Configuration.parse(config.toString()),
-                new GatewayComponents((settings, actions) -> newEngine(new ScriptedEngine(actions)), identifier));
-        address = gateway.start().join();
-    }
-
-    private RoutingEngine newEngine(ScriptedEngine newEngine) {
-        engine = newEngine;
-        return newEngine;
-    }
-
-    @AfterEach void stop() {
-        gateway.stop().join();
-        assertEquals(0, counter("client.closed.owing"));
-        assertEquals(0, counter("client.discarded"));
-    }
-
-    private long counter(String name) {
-        return gateway.counters().join().getOrDefault(name, 0L);
-    }
-
-    private void awaitCounter(String name, long least) throws InterruptedException {
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); counter(name) < least; ) {
-            assertTrue(System.nanoTime() < end, name + " did not reach " + least);
-            Thread.sleep(1);
-        }
-    }
-
-    private BlockingClient connect() throws IOException {
-        return new BlockingClient(address).startup();
-    }
-
     private ByteBuf rpc(String method) {
         String sql = method.equals("order") ? ",k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('k', 'v')"
                 + " RETURNING data" : ",cluster=1 */ SELECT data FROM facts WHERE code = 'k'";
@@ -79,21 +33,12 @@
                 "/* id=" + Integer.toHexString(nextId++) + ",c=" + method + ",t=acme,d=3000" + sql);
     }
 
-    private void awaitHeld(int count) throws InterruptedException {
-        int[] held = {-1};
-        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15); held[0] != count; ) {
-            assertTrue(System.nanoTime() < end, held[0] + " RPCs are held instead of " + count);
-            gateway.runOnEventLoop(() -> held[0] = engine.held.size()).join();
-            Thread.sleep(2);
-        }
-    }
-
     /**
      * Prevents the loss of an RPC whose session is closed for room, which happens when other RPCs are answered while
      * this one starts and the session still counts as the longest idle one.
      */
     @Test void sessionWhoseRpcJustStartedIsNotClosedForRoom() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         List<BlockingClient> writers = new ArrayList<>();
         while (writers.size() < new Limits(SOCKETS, 192).startedSessionsSoftLimit) {
             writers.add(connect());
@@ -121,7 +66,7 @@
      * the sessions that are held back count by themselves, and where they are most, the oldest of them is closed.
      */
     @Test void restingSessionIsNotClosedForHalfMessages() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         Limits limits = new Limits(SOCKETS, 192);
         try (BlockingClient resting = connect()) {
             assertEquals("C Z", resting.ask("SET x = 1"));
@@ -145,7 +90,7 @@
 
     /** Prevents the loss of an RPC that follows an empty query on a gateway that drains before it is ready. */
     @Test void rpcBehindAnUnansweredEmptyQueryIsAnsweredAtADrain() throws Exception {
-        JsonObject config = configuration();
+        JsonObject config = limitedConfiguration();
         config.getAsJsonObject("settings").getAsJsonArray("Grades").forEach(method -> {
             method.getAsJsonObject().addProperty("OnTime", 100.0);
             method.getAsJsonObject().addProperty("GiveUp", 200.0);
@@ -163,7 +108,7 @@
 
     /** Prevents the loss of an RPC of which a first part has been read when the gateway drains. */
     @Test void rpcThatIsHalfReadAtADrainIsAnswered() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         try (BlockingClient idle = connect(); BlockingClient client = connect()) {
             ByteBuf message = rpc("history");
             gateway.stop();
@@ -180,7 +125,7 @@
 
     /** Prevents the loss of RPCs that are in flight or queued when a shutdown ends, whatever the engine does. */
     @Test void rpcsInFlightAndQueuedAreAnsweredAtTheEndOfAShutdown() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         try (BlockingClient client = connect()) {
             var stopped = gateway.stop();
             Thread.sleep(1_000); // the deadline of an order, 3 s, is now beyond the end of the shutdown after 3.6 s
@@ -196,7 +141,7 @@
 
     /** Prevents the loss of an RPC whose session fails: it is answered as failed before the connection closes. */
     @Test void rpcIsAnsweredWhenItsSessionFails() throws Exception {
-        start(configuration(), new ClientIdentifier(null, null)); // fails at each RPC
+        start(limitedConfiguration(), new ClientIdentifier(null, null)); // fails at each RPC
         try (BlockingClient client = connect()) {
             client.send(rpc("history").writeBytes(rpc("history")));
             assertEquals("E:58000 Z", client.readAnswer());
@@ -208,7 +153,7 @@
 
     /** Prevents the loss of an RPC on which a decision fails, which then has no timer that would end it. */
     @Test void rpcIsAnsweredWhenItsDecisionFails() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         List<Throwable> failures = List.of(new NoClassDefFoundError("no descriptor left to load a class"),
                 new IllegalStateException("a fault of the engine"));
         for (Throwable failure : failures) {
@@ -231,7 +176,7 @@
 
     /** Prevents call-outs for a client that left while its input was not read, since it had sent too much at once. */
     @Test void clientThatLeftWhileItsReadingWasPausedGetsNoCallOut() throws Exception {
-        JsonObject config = configuration();
+        JsonObject config = limitedConfiguration();
         config.getAsJsonObject("limits").addProperty("memory_mb", 8);
         start(config, null);
         BlockingClient client = connect();
@@ -253,7 +198,7 @@
 
     /** Prevents a needless pushback, which happens when a pause of accepting counts although nobody waited for it. */
     @Test void deadlineOfANewClientIsWholeAfterAnOldPause() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         List<BlockingClient> clients = new ArrayList<>();
         while (clients.size() < new Limits(SOCKETS, 192).maxClients) { // accepting is paused at this number
             clients.add(connect());
@@ -277,7 +222,7 @@
 
     /** Prevents an answer past its time, which happens when the wait to be accepted is not taken off the deadline. */
     @Test void deadlineOfAClientThatWaitedToBeAcceptedIsNearer() throws Exception {
-        start(configuration(), null);
+        start(limitedConfiguration(), null);
         List<BlockingClient> clients = new ArrayList<>();
         while (clients.size() < new Limits(SOCKETS, 192).maxClients) { // accepting is paused at this number
             clients.add(connect());
