Decide the end of a session that is to close in a module of its own

The drain's judgement stood in ClientSession, an adapter. sessions.PendingClose has its states (open, pending, endless), what is refused, whether reading goes on, and whether the connection ends in order or by a reset; no behaviour changes. A guard that no test noticed is gone: what is half read when the close begins is refused with the next read in any case.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -17,6 +17,7 @@
 import reedquay.pg.Frame;
 import reedquay.pg.Messages;
 import reedquay.sessions.OpenRequestIds;
+import reedquay.sessions.PendingClose;
 
 /**
  * One client's connection: handles its messages in order and has at most one RPC in flight. What arrives is kept as
@@ -72,15 +73,13 @@
     private long catchingUpSince;
     private HeldBack heldBack; // null while it is not
     private long workLeftSince = NONE_LEFT; // since then the event loop's time was never enough
-    private long endlessSince = NONE_LEFT; // since then it always had work of its own, and waited for no answer
     private long servedNanos; // the event loop's time that it has had
     private String identifyingParameter; // of the startup message; null where none identifies clients
     private String clientAddress;
     private CloseReason closeReason; // null while the connection is open
     /** Why the session closes as soon as its client is owed no answer; null while it goes on. */
     private CloseReason pendingCloseReason;
-    /** Reads on only to notice the client's end: the close is pending, and the client sends without end. */
-    private boolean sendsWithoutEnd;
+    private final PendingClose pendingClose = new PendingClose(Limits.UNUSED_TIMEOUT_NANOS);
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
     /** For how long, at most, what this client has sent so far waited to be read; 0 once that is handled. */
     private long backlogWait;
@@ -133,7 +132,7 @@
 
     /** Whether what is read now may not be kept. */
     private boolean mustRefuse(int bytes) {
-        return pendingCloseReason != null && behind || isBlocked() && !mayQueue(bytes);
+        return pendingClose.refusesInput(behind) || isBlocked() && !mayQueue(bytes);
     }
 
     /** Refuses the messages that are not complete yet; those that are keep their turn. */
@@ -278,7 +277,7 @@
 
     /** Whether reading on is of use: not for a client that reads no answers, unless its end has to be noticed. */
     private boolean mayRead() {
-        return output.isWritable() && !sendsWithoutEnd || isAwaitingOutcome();
+        return pendingClose.readsOn(isAwaitingOutcome()) && (output.isWritable() || isAwaitingOutcome());
     }
 
     private boolean canReadOn() {
@@ -308,7 +307,7 @@
     /** What follows once all that can be handled now is. */
     private void workDone() {
         workLeftSince = NONE_LEFT;
-        endlessSince = NONE_LEFT;
+        pendingClose.served(false, false, 0);
         backlogWait = departureChecked ? 0 : backlogWait;
         closeIfAllAnswered();
         closeIfAbandoned();
@@ -405,11 +404,7 @@
 
     /** Notes whether work was left when the session was last served. */
     private void noteWorkLeft(boolean workIsLeft, long now) {
-        if (!workIsLeft || isAwaitingOutcome()) {
-            endlessSince = NONE_LEFT;
-        } else if (endlessSince == NONE_LEFT) {
-            endlessSince = now;
-        }
+        pendingClose.served(workIsLeft, isAwaitingOutcome(), now);
         if (!workIsLeft) {
             workLeftSince = NONE_LEFT;
         } else if (workLeftSince == NONE_LEFT) {
@@ -419,7 +414,7 @@
     }
 
     private void updateHeldBack(boolean wantsMoreTime) {
-        HeldBack reason = pendingCloseReason != null ? null : input.isRefusing() ? HeldBack.MEMORY
+        HeldBack reason = pendingClose.isPending() ? null : input.isRefusing() ? HeldBack.MEMORY
                 : wantsMoreTime ? HeldBack.TIME : !output.isWritable() ? HeldBack.UNREAD
                 : input.hasPartialMessage() ? HeldBack.INCOMPLETE : null;
         if (reason != heldBack && state != State.CLOSING) {
@@ -698,7 +693,7 @@
         } else if (pendingCloseReason == CloseReason.DRAIN) {
             dispatcher.counters.add("client.refused.drain");
             write(refusal());
-        } else if (pendingCloseReason != null) {
+        } else if (pendingClose.isPending()) {
             dispatcher.counters.add("client.refused.room");
             write(pushback("no room for this connection now; trying again is harmless"));
         } else {
@@ -819,26 +814,19 @@
      * while more is unread, what follows them is read and refused, so that nothing that was read stays unanswered.
      */
     private void closeWhenAllAnswered(CloseReason reason) {
-        if (pendingCloseReason == null && state != State.CLOSING) {
+        if (!pendingClose.isPending() && state != State.CLOSING) {
             pendingCloseReason = reason;
-            if (behind) {
-                refuseFurtherInput();
-                accountInput();
-            }
+            pendingClose.begin();
             endEndlessInput();
         }
     }
 
     /**
      * Stops reading from a client whose session is to close and whose input has had no end for long. What was read is
-     * still answered; what is not read stays in the socket, so that the client sees a reset. A client that waits for
-     * answers is none of these, however slowly its batch is read.
+     * still answered; what is not read stays in the socket, so that the client sees a reset.
      */
     private void endEndlessInput() {
-        boolean isEndless = hasWork() && endlessSince != NONE_LEFT
-                && System.nanoTime() - endlessSince >= Limits.UNUSED_TIMEOUT_NANOS;
-        if (pendingCloseReason != null && isEndless) {
-            sendsWithoutEnd = true;
+        if (pendingClose.judgeEndless(hasWork(), System.nanoTime())) {
             workChanged();
         }
     }
@@ -851,14 +839,15 @@
     }
 
     private void closeIfAllAnswered() {
-        boolean hasErrorToSend = inputError != null;
-        if (pendingCloseReason == null || state == State.CLOSING || isAwaitingOutcome() || hasErrorToSend) {
+        if (state == State.CLOSING || !pendingClose.isPending()) {
             return;
         }
-        if (sendsWithoutEnd && !owesAnswerToMessage()) { // what waits gets no answer, so it need not be handled
+        PendingClose.End end = pendingClose.end(isAwaitingOutcome(), inputError != null, owesAnswer(),
+                this::owesAnswerToMessage);
+        if (end == PendingClose.End.RESET) {
             resetOnClose();
-            closeAfterFlush(pendingCloseReason);
-        } else if (!owesAnswer()) {
+        }
+        if (end != PendingClose.End.NOT_YET) {
             closeAfterFlush(pendingCloseReason);
         }
     }
--- a/src/main/java/reedquay/sessions/package-info.java
+++ b/src/main/java/reedquay/sessions/package-info.java
@@ -1,2 +1,5 @@
-/** Which sessions of clients are kept while descriptors are short: decisions alone, free of I/O, clock and threads. */
+/**
+ * Which sessions of clients are kept while descriptors are short, how one ends, and whose each open request is:
+ * decisions alone, free of I/O, clock and threads.
+ */
 package reedquay.sessions;
--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -131,14 +131,16 @@
         assertAllRefusedAfter(ClientSession::drain);
         assertEquals("closed", client.readAnswer());
         assertEquals(1, counter("client.closed.drain"));
+        assertTrue(counter("client.refused.drain") > 0, "what was not read when the drain began is refused");
     }
 
     /** Prevents a drain that lasts for as long as a client sends: it is given up, and its connection ends. */
     @Test void clientThatSendsWithoutEndDoesNotHoldUpADrain() throws Exception {
         startWithRequestInFlight("first");
+        client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(4096)); // never at a message's end
         Thread writer = new Thread(() -> assertThrows(IOException.class, () -> {
             while (true) {
-                client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(8192));
+                client.send(Unpooled.buffer().writeZero(4096).writeByte('d').writeInt(4 + 8192).writeZero(4096));
             }
         }));
         writer.start();
