--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -293,7 +293,9 @@
         if (!departureChecked) {
             checkDeparture();
         }
-        if (hasWork()) {
+        boolean hasWork = hasWork();
+        pendingClose.workChanged(hasWork, isAwaitingOutcome(), System.nanoTime());
+        if (hasWork) {
             gateway.work.activate(this);
         } else {
             workDone();
@@ -307,7 +309,6 @@
     /** What follows once all that can be handled now is. */
     private void workDone() {
         workLeftSince = NONE_LEFT;
-        pendingClose.served(false, false, 0);
         backlogWait = departureChecked ? 0 : backlogWait;
         closeIfAllAnswered();
         closeIfAbandoned();
@@ -404,7 +405,6 @@
 
     /** Notes whether work was left when the session was last served. */
     private void noteWorkLeft(boolean workIsLeft, long now) {
-        pendingClose.served(workIsLeft, isAwaitingOutcome(), now);
         if (!workIsLeft) {
             workLeftSince = NONE_LEFT;
         } else if (workLeftSince == NONE_LEFT) {
@@ -826,7 +826,7 @@
      * still answered; what is not read stays in the socket, so that the client sees a reset.
      */
     private void endEndlessInput() {
-        if (pendingClose.judgeEndless(hasWork(), System.nanoTime())) {
+        if (pendingClose.judgeEndless(System.nanoTime())) {
             workChanged();
         }
     }
@@ -842,12 +842,8 @@
         if (state == State.CLOSING || !pendingClose.isPending()) {
             return;
         }
-        PendingClose.End end = pendingClose.end(isAwaitingOutcome(), inputError != null, owesAnswer(),
-                this::owesAnswerToMessage);
-        if (end == PendingClose.End.RESET) {
-            resetOnClose();
-        }
-        if (end != PendingClose.End.NOT_YET) {
+        boolean hasErrorToSend = inputError != null;
+        if (pendingClose.ends(isAwaitingOutcome(), hasErrorToSend, owesAnswer(), this::owesAnswerToMessage)) {
             closeAfterFlush(pendingCloseReason);
         }
     }
--- a/src/main/java/reedquay/sessions/PendingClose.java
+++ b/src/main/java/reedquay/sessions/PendingClose.java
@@ -6,8 +6,8 @@
  * The end of a session that is to close although its client may still send, as at a drain. It closes in order only once
  * each message that was read has its answer or its refusal and none is read in part: what is read belongs to messages,
  * also where it is read to notice the client's end. While more is unread, what is not complete is refused instead of
- * kept. A client that sends without end is not read any further; its connection is reset over what is left, so that the
- * client does not take the end for one in order. Times in nanoseconds. Not thread-safe.
+ * kept. A client that sends without end is not read any further; its connection closes over what is left in the socket,
+ * which the system turns into a reset. Times in nanoseconds. Not thread-safe.
  */
 public final class PendingClose {
     /** The states; each one follows the one before it. */
@@ -20,9 +20,6 @@
         ENDLESS
     }
 
-    /** How the connection ends now. */
-    public enum End { NOT_YET, IN_ORDER, RESET }
-
     private static final long NOT_BUSY = Long.MIN_VALUE;
 
     private final long maxBusy;
@@ -55,11 +52,11 @@
     }
 
     /**
-     * The session was served. A client that waits for an answer does not send without end, however slowly its messages
-     * are read.
+     * The session may have work now, or none any more. A client that waits for an answer does not send without end,
+     * however slowly its messages are read.
      */
-    public void served(boolean workIsLeft, boolean awaitsAnswer, long now) {
-        if (!workIsLeft || awaitsAnswer) {
+    public void workChanged(boolean hasWork, boolean awaitsAnswer, long now) {
+        if (!hasWork || awaitsAnswer) {
             busySince = NOT_BUSY;
         } else if (busySince == NOT_BUSY) {
             busySince = now;
@@ -67,8 +64,8 @@
     }
 
     /** Judges whether the client sends without end, if the session is to close; returns whether it does since now. */
-    public boolean judgeEndless(boolean hasWork, long now) {
-        boolean isEndless = hasWork && busySince != NOT_BUSY && now - busySince >= maxBusy;
+    public boolean judgeEndless(long now) {
+        boolean isEndless = busySince != NOT_BUSY && now - busySince >= maxBusy;
         if (state != State.PENDING || !isEndless) {
             return false;
         }
@@ -77,16 +74,14 @@
     }
 
     /**
-     * How the connection ends now. hasError: an error is still to be sent, which ends it by itself; owesAnswer: a
+     * Whether the connection ends now. hasError: an error is still to be sent, which ends it by itself; owesAnswer: a
      * message waits, or one is read in part; owesAnswerToMessage: one that waits is of a kind that gets an answer.
      */
-    public End end(boolean awaitsAnswer, boolean hasError, boolean owesAnswer, BooleanSupplier owesAnswerToMessage) {
+    public boolean ends(boolean awaitsAnswer, boolean hasError, boolean owesAnswer,
+            BooleanSupplier owesAnswerToMessage) {
         if (state == State.OPEN || awaitsAnswer || hasError) {
-            return End.NOT_YET;
-        }
-        if (state == State.ENDLESS) {
-            return owesAnswerToMessage.getAsBoolean() ? End.NOT_YET : End.RESET;
+            return false;
         }
-        return owesAnswer ? End.NOT_YET : End.IN_ORDER;
+        return state == State.ENDLESS ? !owesAnswerToMessage.getAsBoolean() : !owesAnswer;
     }
 }
--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -262,4 +263,34 @@
         assertEquals(CROWD * ROUNDS * BATCH_REQUESTS, answered.get());
         assertTrue(counter("client.refused.partial") > 0, "memory for incomplete messages was short");
     }
+
+    /** Prevents an end in order over requests that were read, where there is no time left to refuse them. */
+    @Test void connectionIsResetOverRequestsWithoutAnAnswer() throws Exception {
+        startWithRequestInFlight("first");
+        client.send(write("second").writeBytes(write("third")));
+        awaitCounter("rpc.open", 3);
+        gateway.runOnEventLoop(() -> session.abandon(CloseReason.SHUTDOWN, 0)).join();
+        expectedDiscarded = 2;
+        assertThrows(SocketException.class, () -> { // a reset may overtake the answer to the request in flight
+            assertEquals("E:58000 Z", client.readAnswer());
+            client.readAnswer();
+        });
+    }
+
+    /** Prevents startup messages without an end from taking more than their share: they are given up, with an error. */
+    @Test void halfStartupsAreGivenUpWhileMemoryIsShort() throws Exception {
+        JsonObject config = configuration();
+        config.getAsJsonObject("limits").addProperty("memory_mb", 1);
+        start(config, null);
+        List<BlockingClient> clients = new ArrayList<>();
+        while (counter("client.malformed") == 0) {
+            clients.add(new BlockingClient(address));
+            clients.get(clients.size() - 1).send(Unpooled.buffer().writeInt(10_000).writeZero(9_000));
+            assertTrue(counter("client.partialbytes") <= (1 << 20) / 8);
+            assertTrue(clients.size() < 100, "none is given up");
+        }
+        for (BlockingClient halfStartup : clients) {
+            halfStartup.close();
+        }
+    }
 }
--- a/src/test/java/reedquay/net/UnreadAnswersTest.java
+++ b/src/test/java/reedquay/net/UnreadAnswersTest.java
@@ -10,6 +10,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -55,6 +57,22 @@
         return gateway.counters().join().getOrDefault(name, 0L);
     }
 
+    /** How many of the clients that read nothing find their connection reset, behind what was sent to them. */
+    private int resets() throws IOException {
+        int resets = 0;
+        for (Socket client : clients.subList(1, clients.size())) {
+            client.setSoTimeout(20);
+            try {
+                client.getInputStream().readAllBytes();
+            } catch (SocketTimeoutException e) {
+                continue; // it is open
+            } catch (SocketException e) {
+                resets++;
+            }
+        }
+        return resets;
+    }
+
     /** Prevents the end of direct memory by hundreds of clients that leave large answers unread. */
     @Test void unreadAnswersOfManyClientsKeepToTheirShareOfTheMemory() throws Exception {
         start();
@@ -84,6 +102,7 @@
             }
         }
         assertTrue(counter("client.closed.unread") > 0, "no client that reads nothing was closed");
+        assertTrue(resets() > 0, "a connection that ends over answers which were not sent is reset");
         assertTrue(most <= 2 * MAX_BYTES, most + " bytes are in use for answers that nobody reads");
         assertEquals("T D:" + value + " C Z", usual.ask("/* id=2,c=history,t=acme,d=1200,cluster=1 */ SELECT data"
                 + " FROM facts WHERE code = 'a'"));
