Count refused messages as progress, and test or drop the guards that no test noticed

Found while guards were taken out one at a time: a session whose messages are read past and refused for 2 s without a pause ended with "a message that does not end", and what followed was dropped, since only messages that are handed out counted as progress. Refused ones count now; PipelinedRequestsTest#messagesThatAreRefusedForLong... holds it.

--- a/src/main/java/reedquay/members/MembershipReconciler.java
+++ b/src/main/java/reedquay/members/MembershipReconciler.java
@@ -320,11 +320,11 @@
         answerTimeout = initialAnswerTimeout;
     }
 
-    /** The first line of a watch: those beside it on the same agent that have received nothing are not needed. */
+    /** The first line of a watch: those beside it that have received nothing are of the same agent, and not needed. */
     private void firstAnswered(Watch watch) {
         resetReopenDelay(watch);
         for (Watch other : new ArrayList<>(watches)) {
-            if (other.isUnanswered() && other.address.equals(watch.address)) {
+            if (other.isUnanswered()) {
                 other.state = State.CLOSED;
                 closeWatch(other);
             }
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -61,6 +61,7 @@
     private String inputError; // why its input is malformed; sent once all earlier messages are answered
     /** The last time at which no message was incomplete; until the startup message, the time of connecting. */
     private long lastProgressAt;
+    private long lastRefusedInAll; // messages, at the last sweep
     private int openIds; // of statements that wait or are in flight, and were not open before
     private int queuedBytes; // what waiting messages take, as last accounted for
     private int unfinishedBytes; // what an incomplete message reserves, as last accounted for
@@ -277,7 +278,7 @@
 
     /** Whether reading on is of use: not for a client that reads no answers, unless its end has to be noticed. */
     private boolean mayRead() {
-        return pendingClose.readsOn(isAwaitingOutcome()) && (output.isWritable() || isAwaitingOutcome());
+        return pendingClose.readsOn() && (output.isWritable() || isAwaitingOutcome());
     }
 
     private boolean canReadOn() {
@@ -446,6 +447,7 @@
     void sweep(long now, long lingerTimeout) {
         accountOutput();
         endEndlessInput();
+        noteProgress(now);
         rejectStalledMessage(now, lingerTimeout);
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
@@ -467,6 +469,14 @@
         }
     }
 
+    /** A message that has ended is progress, also where it is read past. */
+    private void noteProgress(long now) {
+        if (input.refusedInAll() != lastRefusedInAll) {
+            lastRefusedInAll = input.refusedInAll();
+            lastProgressAt = now;
+        }
+    }
+
     /** The bytes of answers that are not written yet, since the client has not read the ones before. */
     long unreadOutputBytes() {
         return output.unreadBytes();
@@ -920,7 +930,6 @@
             rejectInput("a session that is held back while descriptors are short");
         } else {
             closeWhenAllAnswered(CloseReason.ROOM);
-            rejectStalledMessage(dispatcher.clock.now(), dispatcher.settings().capabilities().connectTimeout());
             workChanged();
         }
     }
@@ -960,7 +969,6 @@
         state = State.CLOSING;
         gateway.sessionClosing(this);
         lastProgressAt = dispatcher.clock.now();
-        closeWaitingIds();
         input.clear();
         accountInput();
         channel.config().setAutoRead(true);
--- a/src/main/java/reedquay/pg/ClientInput.java
+++ b/src/main/java/reedquay/pg/ClientInput.java
@@ -26,6 +26,7 @@
     private final int maxMessageBytes;
     private ByteBuf received = Unpooled.EMPTY_BUFFER;
     private RefusedMessages refused; // null while messages are kept
+    private long refusedBefore; // messages that ended while earlier ones were refused
     private int scannedBytes; // of those that are kept, from the first: their messages were passed to a visitor
     private boolean expectsUntyped = true;
     private int encryptionRequests;
@@ -139,8 +140,8 @@
     // ---- Messages that are refused ----
 
     /**
-     * Keeps no further message; the one that is not complete yet is the first that is refused, and its bytes are
-     * released. Without effect before the startup message is complete. Throws as next() does.
+     * Keeps no further message; the one that is not complete yet is the first that is refused, and trim() releases its
+     * bytes. Without effect before the startup message is complete. Throws as next() does.
      */
     public void refuseFurther() {
         if (refused != null || expectsUntyped || discarding) {
@@ -150,9 +151,6 @@
         refused = new RefusedMessages(maxMessageBytes);
         refused.read(received.slice(completeEnd, received.writerIndex() - completeEnd));
         received.writerIndex(completeEnd);
-        if (!received.isReadable()) {
-            clearReceived();
-        }
     }
 
     /** The index behind the last message that is complete, of those before the first malformed one. */
@@ -224,6 +222,11 @@
         return refused == null ? 0 : refused.unanswered();
     }
 
+    /** How many messages have ended that were read past and not kept, of any kind. */
+    public long refusedInAll() {
+        return refusedBefore + (refused == null ? 0 : refused.ended());
+    }
+
     /** Whether the client has ended its connection by a message behind those that are refused. */
     public boolean isTerminated() {
         return refused != null && refused.isTerminated() && refused.unanswered() == 0;
@@ -240,6 +243,7 @@
         if (refused != null && refused.unanswered() == 0 && !refused.isInsideMessage() && !refused.isTerminated()
                 && !received.isReadable()) {
             ByteBuf header = refused.partialHeader(ByteBufAllocator.DEFAULT);
+            refusedBefore += refused.ended();
             refused = null;
             keep(header);
         }
--- a/src/main/java/reedquay/pg/RefusedMessages.java
+++ b/src/main/java/reedquay/pg/RefusedMessages.java
@@ -13,6 +13,7 @@
     private int headerBytes; // received of a header that is not complete
     private int remainingBytes; // still to come of the current message's body
     private byte currentType;
+    private long ended;
     private long unanswered;
     private boolean terminated;
 
@@ -53,6 +54,7 @@
     }
 
     private void messageEnded() {
+        ended++;
         if (currentType == 'Q' || currentType == 'S') { // a Sync is owed a ReadyForQuery
             unanswered++;
         } else if (currentType == 'X') {
@@ -60,6 +62,11 @@
         }
     }
 
+    /** How many messages have ended. */
+    long ended() {
+        return ended;
+    }
+
     /** How many messages are owed an answer. */
     long unanswered() {
         return unanswered;
--- a/src/main/java/reedquay/sessions/PendingClose.java
+++ b/src/main/java/reedquay/sessions/PendingClose.java
@@ -46,9 +46,9 @@
         return state != State.OPEN && mayHoldMore;
     }
 
-    /** Whether the socket is read; one whose client waits for an answer always is, to notice the client's end. */
-    public boolean readsOn(boolean awaitsAnswer) {
-        return state != State.ENDLESS || awaitsAnswer;
+    /** Whether the socket is read. */
+    public boolean readsOn() {
+        return state != State.ENDLESS;
     }
 
     /**
--- a/src/test/java/reedquay/members/MembershipReconcilerTest.java
+++ b/src/test/java/reedquay/members/MembershipReconcilerTest.java
@@ -362,6 +362,18 @@
         assertEquals(front.opened.size() - 1, front.closed.size());
     }
 
+    /** Prevents running out of descriptors by a silent agent, where many earlier agents keep their connections open. */
+    @Test void silentAgentIsNotAskedAgainBesideManyOpenWatches() {
+        RecordingFront front = new RecordingFront();
+        for (String address : List.of("a", "b", "c", "d", "e", "f", "g")) {
+            front.after(1).heartbeatReceived(front.watch(address));
+        }
+        front.watch("silent");
+        int opened = front.opened.size();
+        front.after(1500).closeSilentWatches();
+        assertEquals(opened, front.opened.size());
+    }
+
     /** Prevents a flood of watches on an agent that is down for long. */
     @Test void watchesOfASilentAgentAreFew() {
         RecordingFront front = new RecordingFront();
--- a/src/test/java/reedquay/net/ListAssemblerTest.java
+++ b/src/test/java/reedquay/net/ListAssemblerTest.java
@@ -91,6 +91,7 @@
             List<String> events = assemble(cut + "\n\n" + next + "\n");
             assertEquals("malformed", events.get(0), cut);
             assertEquals(next.toString(), events.get(events.size() - 1));
+            assertTrue(assemble(cut + "\n" + next + "\n").contains("malformed"), "at once, before any heartbeat");
             events = assemble(cut + "\n" + next + "\n\n" + next + "\n");
             assertTrue(events.contains("malformed"), cut);
             assertEquals(next.toString(), events.get(events.size() - 1));
--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import reedquay.core.Rpc;
 import reedquay.pg.Messages;
+import reedquay.sessions.OpenRequestIds;
 
 /**
  * Tests that every request of a batch that was read gets its answer or its refusal, whatever happens to the session
@@ -24,6 +25,7 @@
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class PipelinedRequestsTest extends ScriptedGateway {
     private static final int BATCH_REQUESTS = 4;
+    private static final int MANY = 200;
     private static final int CROWD = 60;
     private static final int ROUNDS = 4;
     private static final int SHORT_MEMORY_MB = 16;
@@ -44,10 +46,10 @@
                 + "') RETURNING data");
     }
 
-    private ByteBuf largeBatch() {
+    private ByteBuf batch(int requests, String value) {
         ByteBuf batch = Unpooled.buffer();
-        for (int i = 0; i < BATCH_REQUESTS; i++) {
-            ByteBuf message = write(LARGE_VALUE);
+        for (int i = 0; i < requests; i++) {
+            ByteBuf message = write(value);
             batch.writeBytes(message);
             message.release();
         }
@@ -67,12 +69,12 @@
      * Sends batches behind a request in flight until the action has run at a moment in which a part of one is unread;
      * each request has to be refused then.
      */
-    private void assertAllRefusedAfter(Consumer<ClientSession> action) throws Exception {
+    private void assertAllRefusedAfter(Consumer<ClientSession> action, String value) throws Exception {
         startWithRequestInFlight("first");
         boolean[] done = {false};
         int requests = 1;
         while (!done[0]) {
-            ByteBuf batch = largeBatch();
+            ByteBuf batch = batch(BATCH_REQUESTS, value);
             requests += BATCH_REQUESTS;
             Thread writer = new Thread(() -> assertDoesNotThrow(() -> client.send(batch)));
             writer.start();
@@ -129,7 +131,7 @@
      * a request in flight, read the rest only to notice the client's end, dropped it, and closed in order.
      */
     @Test void batchThatIsHalfReadAtADrainIsAnswered() throws Exception {
-        assertAllRefusedAfter(ClientSession::drain);
+        assertAllRefusedAfter(ClientSession::drain, "v".repeat(20_000)); // small enough to be kept otherwise
         assertEquals("closed", client.readAnswer());
         assertEquals(1, counter("client.closed.drain"));
         assertTrue(counter("client.refused.drain") > 0, "what was not read when the drain began is refused");
@@ -155,13 +157,13 @@
      * while memory was short, and those behind it were read, dropped, and followed by an end in order.
      */
     @Test void batchIsAnsweredWhereOneOfItsMessagesIsRejectedWhileIncomplete() throws Exception {
-        assertAllRefusedAfter(ClientSession::rejectUnfinishedInput);
+        assertAllRefusedAfter(ClientSession::rejectUnfinishedInput, LARGE_VALUE);
         assertEquals("C Z", client.ask("SET x = 1"));
     }
 
     /** Prevents the same loss where a session is ended to free its descriptor while a batch is half read. */
     @Test void batchOfASessionThatIsClosedForRoomIsAnswered() throws Exception {
-        assertAllRefusedAfter(ClientSession::closeHeldBack);
+        assertAllRefusedAfter(ClientSession::closeHeldBack, LARGE_VALUE);
         assertEquals("closed", client.readAnswer());
     }
 
@@ -172,6 +174,47 @@
         assertEquals(List.of("E:53300 Z"), answers(1));
     }
 
+    /** Prevents short statements without end from filling the heap by their ids, which are no part of their bytes. */
+    @Test void idsOfStatementsThatWaitTakeOfTheirMemory() throws Exception {
+        startWithRequestInFlight("first");
+        long before = counter("client.heldbytes");
+        ByteBuf waiting = batch(MANY, "v");
+        int bytes = waiting.readableBytes();
+        client.send(waiting);
+        awaitCounter("rpc.open", 1 + MANY);
+        long taken = counter("client.heldbytes") - before;
+        assertTrue(taken >= bytes + MANY * OpenRequestIds.BYTES_PER_ID, taken + " for " + bytes);
+        assertRefused(answers(1 + MANY), 1 + MANY);
+    }
+
+    /** Prevents that a half message keeps a descriptor that is needed, for as long as one may be incomplete. */
+    @Test void halfMessageEndsSoonWhereItsSessionIsClosedForRoom() throws Exception {
+        startWithRequestInFlight("first");
+        long sentAt = System.nanoTime();
+        client.send(write("second").readRetainedSlice(20));
+        awaitCounter("client.heldback.incomplete", 1);
+        gateway.runOnEventLoop(session::closeHeldBack).join();
+        assertEquals(List.of("E:53300 Z", "E:08P01 closed"), answers(2));
+        assertTrue(System.nanoTime() - sentAt < Limits.UNUSED_TIMEOUT_NANOS, "it ends as if no room were needed");
+    }
+
+    /** Prevents that requests are dropped as a message without end, which were refused one after the other for long. */
+    @Test void messagesThatAreRefusedForLongAreNoMessageWithoutEnd() throws Exception {
+        startWithRequestInFlight("first");
+        gateway.runOnEventLoop(session::rejectUnfinishedInput).join(); // so that all that follows is refused
+        int requests = 1;
+        ByteBuf rest = Unpooled.buffer();
+        for (long end = System.nanoTime() + 3 * Limits.UNUSED_TIMEOUT_NANOS / 2; System.nanoTime() < end; requests++) {
+            ByteBuf message = write("v");
+            client.send(rest.writeBytes(message, 20)); // never at a message's end
+            rest = message;
+            Thread.sleep(5);
+        }
+        client.send(rest);
+        assertRefused(answers(requests), requests);
+        assertEquals("C Z", client.ask("SET x = 1"));
+    }
+
     /** Asks with the id of the statement that is written next; returns the error, or that it was accepted. */
     private String askWithNextId(BlockingClient other) throws Exception {
         long taken = counter("rpc.taken");
@@ -208,18 +251,41 @@
     /** Prevents the same while a request waits until the gateway is ready; the id ends with its client. */
     @Test void idOfARequestThatWaitsForTheGatewayIsOpen() throws Exception {
         start(configuration(), null);
-        client = connect();
-        client.send(Messages.query(Unpooled.buffer(), "").writeBytes(write("first"))); // not ready without a list
+        client = new BlockingClient(address);
+        ByteBuf startup = Messages.startupMessage(Unpooled.buffer(), "portal", "crm");
+        client.send(Messages.query(startup, "").writeBytes(write("first"))); // not ready without a list
         awaitCounter("rpc.open", 1);
         try (BlockingClient other = connect()) {
             nextId--;
             assertEquals("E:42601 Z", askWithNextId(other));
             client.close();
             awaitCounter("client.closed.client", 1);
+            assertEquals(0, counter("rpc.open"));
             assertEquals("accepted", askWithNextId(other), "its client has left");
         }
     }
 
+    /** Prevents that an id is open for a client that has left, in the turn of the event loop that reads its end. */
+    @Test void idOfAClientWhoseEndIsUnreadIsNotOpen() throws Exception {
+        startWithRequestInFlight("first");
+        nextId--;
+        try (BlockingClient other = connect()) {
+            gateway.runOnEventLoop(() -> assertDoesNotThrow(() -> { // both are read in one turn, the statement first
+                other.send(write("other"));
+                client.close();
+                Thread.sleep(50);
+            })).join();
+            awaitCounter("rpc.clientgone", 1);
+            assertEquals("E:53300 Z", answersTo(other));
+        }
+    }
+
+    private String answersTo(BlockingClient other) throws Exception {
+        awaitHeld(1);
+        gateway.runOnEventLoop(engine::pushBackHeld).join();
+        return other.readAnswer();
+    }
+
     /**
      * Prevents the loss of usual clients' requests where they themselves use up the memory: each request of a batch
      * gets its answer or its refusal, whatever of it is kept, held, or given up while it is incomplete.
@@ -237,7 +303,7 @@
                     for (int round = 0; round < ROUNDS; round++) {
                         ByteBuf batch;
                         synchronized (this) {
-                            batch = largeBatch();
+                            batch = batch(BATCH_REQUESTS, LARGE_VALUE);
                         }
                         crowdClient.send(batch);
                         for (int request = 0; request < BATCH_REQUESTS; request++) {
@@ -283,7 +349,7 @@
         config.getAsJsonObject("limits").addProperty("memory_mb", 1);
         start(config, null);
         List<BlockingClient> clients = new ArrayList<>();
-        while (counter("client.malformed") == 0) {
+        while (counter("client.refused.partial") == 0) {
             clients.add(new BlockingClient(address));
             clients.get(clients.size() - 1).send(Unpooled.buffer().writeInt(10_000).writeZero(9_000));
             assertTrue(counter("client.partialbytes") <= (1 << 20) / 8);
@@ -292,5 +358,6 @@
         for (BlockingClient halfStartup : clients) {
             halfStartup.close();
         }
+        assertEquals(0, counter("client.failed"));
     }
 }
--- a/src/test/java/reedquay/net/StatementMemoryLimitTest.java
+++ b/src/test/java/reedquay/net/StatementMemoryLimitTest.java
@@ -112,6 +112,13 @@
         assertTrue(isHeld(otherWriter, heldWithReader), "the other group has memory for large statements too");
     }
 
+    /** Prevents memory that is never given back: it is held before the statement's text is found to be no statement. */
+    @Test void invalidStatementKeepsNoMemory() throws Exception {
+        BlockingClient client = connect();
+        assertEquals("E:42601 Z", client.ask("/* id=1,c=history,t=acme,d=3000,cluster=1 */ SELECT 'a"));
+        assertEquals(0, held());
+    }
+
     /** Prevents the same by statements that wait behind another one of their client: they are answered in turn. */
     @Test void waitingStatementsAreAnsweredInTheirTurnWhereMemoryIsShort() throws Exception {
         BlockingClient client;
--- a/src/test/java/reedquay/pg/ClientInputTest.java
+++ b/src/test/java/reedquay/pg/ClientInputTest.java
@@ -199,9 +199,25 @@
                     input.visitNew((type, buffer, start, end) -> waiting.add((char) type + ":" + (end - start)));
                 }
                 input.trim();
+                assertTrue(input.reservedBytes() <= Math.max(4_096, 4 * (input.bytes() + 1)), "most of it is kept");
             }
             input.clear();
             stream.release();
         }
     }
+
+    /** Prevents a long turn of the event loop at the end of a session that has very many messages waiting. */
+    @Test void dropsAllMessagesAndCountsTheFirstOnes() {
+        ClientInput input = new ClientInput(MAX_LENGTH);
+        input.add(Messages.startupMessage(ByteBufAllocator.DEFAULT.buffer(), "portal", "crm"));
+        input.next().release();
+        ByteBuf many = ByteBufAllocator.DEFAULT.buffer();
+        for (int i = 0; i < 3_000; i++) {
+            many.writeByte('Q').writeInt(4);
+        }
+        input.add(many);
+        assertEquals(1_000, input.dropMessages());
+        assertFalse(input.hasMessage());
+        assertEquals(0, input.reservedBytes());
+    }
 }
--- a/src/test/java/reedquay/route/RouterTest.java
+++ b/src/test/java/reedquay/route/RouterTest.java
@@ -959,4 +959,16 @@
                 front.entry("now", ListedMember.Phase.DRAINING, false, 0)));
         assertTrue(front.arrive(FRESH, 0).callOuts.isEmpty(), "no member has reported itself primary");
     }
+
+    /** Prevents the same where a member moves to another group and back, whose data give it a role of their own. */
+    @Test void replicaThatMovesAwayAndBackIsNoPrimaryByTheListAlone() {
+        TestFront front = new TestFront(false, true, false, false);
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.FULL, front.up("former", true)));
+        Rpc write = front.arrive(WRITE, 0);
+        front.answer(front.lastCallOut(write), Outcome.MISS, front.now, Role.REPLICA);
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.CHANGES,
+                new ListedMember(front.member("former"), "here", "std", 2, ListedMember.Phase.UP, true, 1, 0)));
+        front.runBatch(() -> front.listMembers(ListedMember.ListKind.CHANGES, front.up("former", true)));
+        assertTrue(front.arrive(FRESH, 0).callOuts.isEmpty(), "no member has reported itself primary");
+    }
 }
--- a/src/test/java/reedquay/sessions/PendingCloseTest.java
+++ b/src/test/java/reedquay/sessions/PendingCloseTest.java
@@ -75,7 +75,7 @@
         if (leftOut != LeftOut.ENDLESS && later.judgeEndless(BUSY)) {
             next.add(world.with(world.sent, world.read, world.finished, world.inFlight, State.ENDLESS));
         }
-        if (world.read < world.sent && close.readsOn(world.inFlight)) {
+        if (world.read < world.sent && close.readsOn()) {
             next.add(read(world, close, leftOut));
         }
         if (world.inFlight) {
