Log drains and measure closes since the sockets were polled; lab restarts

Added: one log line for each drain (sessions, how many closed at once, how long it took), in the trace of each close the time since the sockets were polled, and client.close.sincepoll.longest.us for closes by the gateway's own will. lab restarts: a gateway process that is held up (SIGSTOP, or by the fault library between a reading of the clock and what comes next) and gets SIGTERM, beside clients that keep sending on open connections. A client looks right after its write whether the end has come, so that a crossing is told from a request that stood in the gateway's socket. The shared part of FloodRun's configuration moved to ProcessConfiguration.

--- a/lab/src/main/java/reedquay/lab/Lab.java
+++ b/lab/src/main/java/reedquay/lab/Lab.java
@@ -15,6 +15,7 @@
 import reedquay.lab.GatewaySimulation.RetryPolicy;
 import reedquay.lab.flood.DepartureCommand;
 import reedquay.lab.flood.FloodCommand;
+import reedquay.lab.restart.RestartCommand;
 import reedquay.lab.soak.SoakCommand;
 
 /** The command line of the lab: reproducible measurements, of which each command prints a table in Markdown. */
@@ -22,7 +23,7 @@
         subcommands = {Lab.GreedyClient.class, Lab.RetryAfterAccuracy.class, Lab.EvenClients.class,
             Lab.QueueDisciplines.class, Lab.AdmissionCost.class, LoadGenerator.class, FleetCommand.class,
             TraceSummary.class, JournalTable.class, SoakCommand.class, FloodCommand.class,
-            DepartureCommand.class})
+            DepartureCommand.class, RestartCommand.class})
 public final class Lab {
     private Lab() { }
 
--- a/lab/src/main/java/reedquay/lab/flood/DepartureRun.java
+++ b/lab/src/main/java/reedquay/lab/flood/DepartureRun.java
@@ -23,6 +23,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import reedquay.lab.soak.GatewayProcess;
+import reedquay.lab.soak.ProcessConfiguration;
 import reedquay.pg.Messages;
 
 /** One run of a plan: clients leave a gateway process, and the members' records show what was sent on afterwards. */
@@ -82,7 +83,7 @@
     }
 
     private JsonObject configuration(StandIn standIn) throws IOException {
-        JsonObject config = FloodRun.baseConfiguration(root, standIn);
+        JsonObject config = ProcessConfiguration.create(root, standIn);
         for (JsonElement element : config.getAsJsonObject("settings").getAsJsonArray("Grades")) {
             if (element.getAsJsonObject().get("Name").getAsString().equals("order")) {
                 element.getAsJsonObject().addProperty("Repeat", "never");
--- a/lab/src/main/java/reedquay/lab/flood/FloodRun.java
+++ b/lab/src/main/java/reedquay/lab/flood/FloodRun.java
@@ -1,7 +1,5 @@
 package reedquay.lab.flood;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import example.StandIn;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -9,17 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import reedquay.lab.soak.GatewayProcess;
+import reedquay.lab.soak.ProcessConfiguration;
 
 /** One run of a plan: a gateway process with members of its own, usual clients, and abusive ones for a time. */
 final class FloodRun {
-    private static final int GATEWAY_PORT = 6_543;
     private static final int BEFORE_MILLIS = 1_000;
     private static final int AFTER_MILLIS = 2_000;
     private static final int SHUTDOWN_MILLIS = 3_700;
-    /** Runs of one process have different addresses, on which no port is chosen by the system. */
-    private static final AtomicInteger RUNS = new AtomicInteger();
 
     /** What was seen; violations: a line each. */
     record Result(FloodPlan plan, UsualClients usual, long sentBytes, long connections, long peakKilobytes,
@@ -37,7 +32,7 @@
         Path directory = Files.createTempDirectory("flood");
         Path config = directory.resolve("config.json");
         try (StandIn standIn = new StandIn(0, 500, "one", "two", "three")) {
-            Files.writeString(config, baseConfiguration(root, standIn).toString());
+            Files.writeString(config, ProcessConfiguration.create(root, standIn).toString());
             GatewayProcess gateway = new GatewayProcess(root.resolve("target/reedquay.jar"), config, Map.of());
             try {
                 return run(gateway);
@@ -50,17 +45,6 @@
         }
     }
 
-    /** The example's configuration, with this stand-in and an address of its own. */
-    static JsonObject baseConfiguration(Path root, StandIn standIn) throws IOException {
-        JsonObject config = JsonParser.parseString(Files.readString(root.resolve("example/config.json")))
-                .getAsJsonObject();
-        int run = RUNS.incrementAndGet();
-        config.addProperty("listen", "127.78." + (ProcessHandle.current().pid() % 250) + "." + (1 + run % 250) + ":"
-                + GATEWAY_PORT);
-        config.addProperty("discovery", "127.0.0.1:" + standIn.discoveryAddress().getPort());
-        return config;
-    }
-
     private Result run(GatewayProcess gateway) throws IOException, InterruptedException {
         UsualClients usual = new UsualClients(gateway.address(), plan.usualClients());
         Thread.sleep(BEFORE_MILLIS);
--- a/lab/src/main/java/reedquay/lab/soak/FaultLibrary.java
+++ b/lab/src/main/java/reedquay/lab/soak/FaultLibrary.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /** The preloaded library faults.c: builds it, and tells the processes that have loaded it which faults to inject. */
-final class FaultLibrary {
+public final class FaultLibrary {
     /** A system call that can be made to fail, with the offset of its errno in the shared file. */
     enum Call {
         SOCKET(8), ACCEPT(12), CONNECT(16);
@@ -24,7 +24,9 @@
 
     private static final int WALL_CLOCK_OFFSET = 0;
     private static final int ONE_IN_OFFSET = 20;
-    private static final int SHARED_BYTES = 24;
+    private static final int HOLD_UP_OFFSET = 24;
+    private static final int HOLD_UP_ONE_IN_OFFSET = 28;
+    private static final int SHARED_BYTES = 32;
 
     private final Path library;
     private final Path sharedFile;
@@ -37,7 +39,7 @@
     }
 
     /** Compiles the source with the system's C compiler. Throws IOException where there is none or it fails. */
-    static Path compile(Path source) throws IOException, InterruptedException {
+    public static Path compile(Path source) throws IOException, InterruptedException {
         Path library = Files.createTempFile("faults", ".so");
         library.toFile().deleteOnExit();
         int status = new ProcessBuilder("cc", "-shared", "-fPIC", "-O2", "-o", library.toString(), source.toString(),
@@ -49,7 +51,7 @@
     }
 
     /** Creates the shared file of one run. */
-    static FaultLibrary create(Path library, Path directory) throws IOException {
+    public static FaultLibrary create(Path library, Path directory) throws IOException {
         Path file = directory.resolve("faults");
         Files.write(file, new byte[SHARED_BYTES]);
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
@@ -60,7 +62,7 @@
     }
 
     /** The variables with which a process loads the library. */
-    Map<String, String> variables() {
+    public Map<String, String> variables() {
         return Map.of("LD_PRELOAD", library.toString(), "SOAK_FAULTS", sharedFile.toString());
     }
 
@@ -69,6 +71,15 @@
         shared.putLong(WALL_CLOCK_OFFSET, nanos);
     }
 
+    /**
+     * Holds up each thread that polls sockets for the given time, after one in so many of its readings of the clock;
+     * 0 for never. It runs for 100 ms at least between two hold-ups.
+     */
+    public void holdUp(int micros, int oneIn) {
+        shared.putInt(HOLD_UP_ONE_IN_OFFSET, oneIn);
+        shared.putInt(HOLD_UP_OFFSET, micros);
+    }
+
     /** Lets one in the given number of calls fail with the errno, 0 for none. */
     void fail(Call call, int errno, int oneIn) {
         shared.putInt(ONE_IN_OFFSET, oneIn);
--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -507,6 +507,11 @@
         return heldBack;
     }
 
+    /** Whether the connection is about to close, or has closed. */
+    boolean isClosing() {
+        return state == State.CLOSING;
+    }
+
     long connectedAt() {
         return connectedAt;
     }
--- a/src/main/java/reedquay/net/Dispatcher.java
+++ b/src/main/java/reedquay/net/Dispatcher.java
@@ -56,6 +56,8 @@
     private final UnixTimeEstimate unixTime;
     private final EventLoop loop;
     private final LoopMonitor loopMonitor;
+    /** From the last poll of the sockets to the close of a connection by the gateway's own will. */
+    private long longestCloseSincePolled;
     private final Connector connector;
     private final Settings settings;
     private final RoutingEngine engine;
@@ -95,6 +97,7 @@
         engine = engineFactory.apply(settings, this);
         counters.gauge("rpc.inhand", () -> inFlight);
         counters.gauge("rpc.open", openIds::size);
+        counters.gauge("client.close.sincepoll.longest.us", () -> longestCloseSincePolled / 1_000);
         counters.gauge("member.known", pools::size);
     }
 
@@ -259,7 +262,9 @@
 
     /** Traces the end of a client's connection; rpc: the one in flight, null for none. */
     void sessionClosing(String connectionId, CloseReason reason, Rpc rpc) {
-        trace.sessionClosing(connectionId, reason, rpc);
+        long sincePolled = loopMonitor.sincePolled();
+        longestCloseSincePolled = Math.max(longestCloseSincePolled, reason.requiresAllAnswered ? sincePolled : 0);
+        trace.sessionClosing(connectionId, reason, rpc, sincePolled);
     }
 
     /** Answers an RPC as failed without asking the engine, which then cancels its call-outs. */
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -500,7 +500,13 @@
     }
 
     private void drainSessions() {
-        new ArrayList<>(sessions.open()).forEach(ClientSession::drain);
+        dispatcher.workBegins();
+        long start = System.nanoTime();
+        List<ClientSession> draining = new ArrayList<>(sessions.open());
+        draining.forEach(ClientSession::drain);
+        long closed = draining.stream().filter(ClientSession::isClosing).count();
+        dispatcher.log("draining " + draining.size() + " sessions; " + closed + " had nothing open and closed in "
+                + (System.nanoTime() - start) / 1_000 + " us");
         checkStopped();
     }
 
--- a/src/main/java/reedquay/net/LoopMonitor.java
+++ b/src/main/java/reedquay/net/LoopMonitor.java
@@ -33,6 +33,11 @@
         }
     }
 
+    /** The time since the sockets were polled, as far as work has been done since; 0 where none has. */
+    long sincePolled() {
+        return workingSince == IDLE ? 0 : System.nanoTime() - workingSince;
+    }
+
     @Override public int calculateStrategy(IntSupplier selectSupplier, boolean hasTasks) throws Exception {
         turnEnded();
         return hasTasks ? selectSupplier.get() : SelectStrategy.SELECT;
--- a/src/main/java/reedquay/net/Trace.java
+++ b/src/main/java/reedquay/net/Trace.java
@@ -49,10 +49,11 @@
         }
     }
 
-    /** rpc: the one in flight on the connection, null for none. */
-    void sessionClosing(String connectionId, CloseReason reason, Rpc rpc) {
+    /** rpc: the one in flight on the connection, null for none; sincePolled: the time since the sockets were polled. */
+    void sessionClosing(String connectionId, CloseReason reason, Rpc rpc, long sincePolled) {
         if (enabled) {
-            line((rpc == null ? "" : id(rpc) + " ") + "session " + connectionId + " closes: " + reason);
+            line((rpc == null ? "" : id(rpc) + " ") + "session " + connectionId + " closes: " + reason + ", "
+                    + sincePolled / 1_000 + " us after the sockets were polled");
         }
     }
 
