--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
@@ -302,6 +303,11 @@
         return rows;
     }
 
+    /** The open sessions, oldest first. */
+    Set<ClientSession> openSessions() {
+        return sessions.open();
+    }
+
     ClientIdentifier clientIdentifier() {
         return clientIdentifier;
     }
