Read a socket last before its connection ends in order, at a drain and for room

Cause: a drain closed all sessions in one turn of the event loop, and a new connection closed an idle one, by what had been read when the sockets were last polled. While the process was held up after that, requests arrived in these sockets. The close shuts the outgoing side at once, so that the client sees an end in order, not a reset. Fix: SocketInput.endIfEmpty reads the socket and, if it holds nothing, ends the connection in the next system call; what it holds is handled first (client.close.calledoff), and for room the next session is asked. Answers that are not written yet are written first, while the session reads on. PendingClose tells an end in order from one by a reset. PendingCloseTest notices the missing last read. On the way the wait for unwritten answers looked again from within its own write and never ended; the test of unread answers showed it. That test first sent for seconds without reading, which is an endless client; it now fills a small receive buffer instead, and asks for the same answers.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -40,6 +40,7 @@
     private static final long MAX_CATCH_UP_NANOS = 50_000_000; // half the time in which a client's end must be noticed
     private static final long MIN_HELD_BACK_NANOS = 20_000_000; // with work left, until that is worth a note
     private static final long NONE_LEFT = Long.MIN_VALUE;
+    private static final long NOT_STALLED = Long.MIN_VALUE;
     private static final int MAX_READS_FOR_PRESENCE = 16;
     private static final int MAX_READS_WHEN_BEHIND = 2; // where more is unread in any case, or the end is near
     private static final int MAX_UNSERVED_BYTES = 4096; // that wait only for the event loop, before reading is paused
@@ -80,6 +81,8 @@
     private CloseReason closeReason; // null while the connection is open
     /** Why the session closes as soon as its client is owed no answer; null while it goes on. */
     private CloseReason pendingCloseReason;
+    private boolean awaitsWrite; // of its last answers, to close then
+    private long outputStalledSince = NOT_STALLED; // while it is to close
     private final PendingClose pendingClose = new PendingClose(Limits.UNUSED_TIMEOUT_NANOS);
     private CloseReason abandonReason; // why the session ends, so that statements are refused; null while it goes on
     /** For how long, at most, what this client has sent so far waited to be read; 0 once that is handled. */
@@ -449,6 +452,7 @@
         endEndlessInput();
         noteProgress(now);
         rejectStalledMessage(now, lingerTimeout);
+        closeIfOutputStalls(now);
         if (state == State.CLOSING) {
             // without an input error the longer timeout applies, since a last answer may still be in transit
             if (now - lastProgressAt >= (inputError == null ? Limits.UNUSED_TIMEOUT_NANOS : lingerTimeout)) {
@@ -858,11 +862,88 @@
             return;
         }
         boolean hasErrorToSend = inputError != null;
-        if (pendingClose.ends(isAwaitingOutcome(), hasErrorToSend, owesAnswer(), this::owesAnswerToMessage)) {
-            closeAfterFlush(pendingCloseReason);
+        switch (pendingClose.ending(isAwaitingOutcome(), hasErrorToSend, owesAnswer(), this::owesAnswerToMessage)) {
+            case IN_ORDER -> closeInOrder(pendingCloseReason);
+            case BY_RESET -> closeAfterFlush(pendingCloseReason);
+            case NONE -> { }
         }
     }
 
+    /**
+     * Closes the connection of a client that is owed no answer, unless it has sent more, which is read then, or has not
+     * read its answers; returns whether the session has ended.
+     */
+    private boolean closeInOrder(CloseReason reason) {
+        output.flush();
+        for (int reads = 0; reads < MAX_READS_FOR_PRESENCE && !owesAnswer(); reads++) {
+            if (output.unreadBytes() > 0) {
+                closeOnceWritten();
+                return false;
+            }
+            switch (SocketInput.endIfEmpty(channel)) {
+                case ENDED -> {
+                    closeAfterFlush(reason);
+                    return true;
+                }
+                case PEER_GONE -> {
+                    return true;
+                }
+                case INPUT_READ -> dispatcher.counters.add("client.close.calledoff");
+            }
+        }
+        return false;
+    }
+
+    /** Looks again whether a session that is to close may, once its answers are written. */
+    private void closeOnceWritten() {
+        if (!awaitsWrite) {
+            awaitsWrite = true;
+            // as a task, since what is written counts as unread until its listeners have run
+            output.flushToSocket().addListener(written -> {
+                if (written.isSuccess()) {
+                    channel.eventLoop().execute(this::lastAnswersWritten);
+                }
+            });
+        }
+    }
+
+    private void lastAnswersWritten() {
+        awaitsWrite = false;
+        resume();
+    }
+
+    /**
+     * Closes the connection of a client whose session is to close and that has not read its answers for long. What it
+     * has not read is dropped, and the close is a reset.
+     */
+    private void closeIfOutputStalls(long now) {
+        if (!pendingClose.isPending() || output.unreadBytes() == 0) {
+            outputStalledSince = NOT_STALLED;
+        } else if (outputStalledSince == NOT_STALLED) {
+            outputStalledSince = now;
+        } else if (now - outputStalledSince >= Limits.UNUSED_TIMEOUT_NANOS) {
+            closing(CloseReason.LINGER);
+            resetOnClose();
+            channel.close();
+        }
+    }
+
+    /**
+     * Ends the session of a client that is owed no answer, to free its descriptor; returns whether that is under way.
+     * One that has sent more goes on.
+     */
+    boolean closeForRoom() {
+        if (closeInOrder(CloseReason.ROOM)) {
+            return true;
+        }
+        if (owesAnswer()) {
+            return false;
+        }
+        closeWhenAllAnswered(CloseReason.ROOM);
+        workChanged();
+        return true;
+    }
+
     /**
      * Makes the close of the connection a reset, so that a client whose messages were read and get no answer does not
      * take the end of its connection for one in order.
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -48,6 +48,7 @@
     private static final int MAX_UNREAD_OUTPUT_BYTES = 16 * 1024;
     private static final long HELD_BACK_LOG_INTERVAL_NANOS = 1_000_000_000;
     private static final int MAX_LISTED_SESSIONS = 20;
+    private static final int MAX_GOING_ON = 16; // sessions that were to close and had sent more, at a time
 
     private final LoopMonitor loopMonitor = new LoopMonitor();
     private final NioEventLoopGroup group =
@@ -70,6 +71,7 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final long startedAt;
     private long lastSweepAt;
+    private boolean closingSessions;
     private boolean ready;
     private boolean stopRequested;
     private boolean stopping; // accepts no more; terminates with its last session
@@ -318,7 +320,7 @@
     void sessionOpened(ClientSession session) {
         sessions.opened(session);
         limits.clientOpened();
-        closeToFreeDescriptor(sessions.toCloseForRoom(clock.now(), oldestUnusedAt()), session);
+        closeSessions(() -> sessions.toCloseForRoom(clock.now(), oldestUnusedAt()), session, 1);
         updateAccepting();
     }
 
@@ -339,25 +341,46 @@
      * descriptors that a front end allows itself, although nearly all of them are idle here.
      */
     private void closeExcessSessions(ClientSession keep) {
-        boolean closed = true;
-        while (closed) {
-            closed = closeToFreeDescriptor(sessions.toCloseAmongStarted(clock.now(), oldestUnusedAt()), keep);
-        }
+        closeSessions(() -> sessions.toCloseAmongStarted(clock.now(), oldestUnusedAt()), keep, Integer.MAX_VALUE);
     }
 
-    /** Closes the session, unless it is null or the one to keep; returns whether it was closed. */
-    private boolean closeToFreeDescriptor(ClientSession session, ClientSession keep) {
-        if (session == null || session == keep) {
-            return false;
+    /**
+     * Closes the sessions that are named, up to a number, until none is or it is the one to keep. One that turns out to
+     * have sent more goes on, and the next one is asked for.
+     */
+    private void closeSessions(Supplier<ClientSession> next, ClientSession keep, int maxClosed) {
+        if (closingSessions) {
+            return; // what is read of a session that is about to close can make it idle
         }
-        boolean isHeldBack = sessions.isHeldBack(session);
-        sessions.closing(session);
-        if (isHeldBack) {
+        closingSessions = true;
+        try {
+            int closed = 0;
+            for (int goingOn = 0; closed < maxClosed && goingOn < MAX_GOING_ON; ) {
+                ClientSession session = next.get();
+                if (session == null || session == keep) {
+                    return;
+                }
+                boolean isClosed = closeToFreeDescriptor(session);
+                closed += isClosed ? 1 : 0;
+                goingOn += isClosed ? 0 : 1;
+            }
+        } finally {
+            closingSessions = false;
+        }
+    }
+
+    /** Closes the session, unless it has sent more; returns whether it closes. */
+    private boolean closeToFreeDescriptor(ClientSession session) {
+        if (sessions.isHeldBack(session)) {
+            sessions.closing(session);
             session.closeHeldBack();
-        } else {
-            session.closeAfterFlush(CloseReason.ROOM);
+            return true;
+        }
+        boolean closes = session.closeForRoom();
+        if (closes) {
+            sessions.closing(session);
         }
-        return true;
+        return closes;
     }
 
     /** The session reads no further message; its connection closes once its answers are written. */
--- a/src/main/java/reedquay/sessions/PendingClose.java
+++ b/src/main/java/reedquay/sessions/PendingClose.java
@@ -4,10 +4,10 @@
 
 /**
  * The end of a session that is to close although its client may still send, as at a drain. It closes in order only once
- * each message that was read has its answer or its refusal and none is read in part: what is read belongs to messages,
- * also where it is read to notice the client's end. While more is unread, what is not complete is refused instead of
- * kept. A client that sends without end is not read any further; its connection closes over what is left in the socket,
- * which the system turns into a reset. Times in nanoseconds. Not thread-safe.
+ * each message that was read has its answer or its refusal, none is read in part, and the socket holds nothing: what is
+ * read belongs to messages, also where it is read to notice the client's end. While more is unread, what is not
+ * complete is refused instead of kept. A client that sends without end is not read any further, and its connection is
+ * reset over what is left in the socket. Times in nanoseconds. Not thread-safe.
  */
 public final class PendingClose {
     /** The states; each one follows the one before it. */
@@ -20,6 +20,16 @@
         ENDLESS
     }
 
+    /** How the connection ends now. */
+    public enum Ending {
+        /** Not yet. */
+        NONE,
+        /** In order, if the socket holds nothing when it is read last; what it holds is handled first. */
+        IN_ORDER,
+        /** By a reset, so that the client can tell that something of what it has sent was not read. */
+        BY_RESET
+    }
+
     private static final long NOT_BUSY = Long.MIN_VALUE;
 
     private final long maxBusy;
@@ -74,14 +84,17 @@
     }
 
     /**
-     * Whether the connection ends now. hasError: an error is still to be sent, which ends it by itself; owesAnswer: a
+     * How the connection ends now. hasError: an error is still to be sent, which ends it by itself; owesAnswer: a
      * message waits, or one is read in part; owesAnswerToMessage: one that waits is of a kind that gets an answer.
      */
-    public boolean ends(boolean awaitsAnswer, boolean hasError, boolean owesAnswer,
+    public Ending ending(boolean awaitsAnswer, boolean hasError, boolean owesAnswer,
             BooleanSupplier owesAnswerToMessage) {
         if (state == State.OPEN || awaitsAnswer || hasError) {
-            return false;
+            return Ending.NONE;
+        }
+        if (state == State.ENDLESS) {
+            return owesAnswerToMessage.getAsBoolean() ? Ending.NONE : Ending.BY_RESET;
         }
-        return state == State.ENDLESS ? !owesAnswerToMessage.getAsBoolean() : !owesAnswer;
+        return owesAnswer ? Ending.NONE : Ending.IN_ORDER;
     }
 }
--- a/src/test/java/reedquay/net/BlockingClient.java
+++ b/src/test/java/reedquay/net/BlockingClient.java
@@ -20,7 +20,16 @@
     final DataInputStream in;
 
     BlockingClient(InetSocketAddress address) throws IOException {
-        socket = new Socket(address.getAddress(), address.getPort());
+        this(address, 0);
+    }
+
+    /** A client with a small receive buffer, so that a gateway soon waits for it to read; 0 for the system's size. */
+    BlockingClient(InetSocketAddress address, int receiveBufferBytes) throws IOException {
+        socket = new Socket();
+        if (receiveBufferBytes > 0) {
+            socket.setReceiveBufferSize(receiveBufferBytes);
+        }
+        socket.connect(address);
         in = new DataInputStream(socket.getInputStream());
         socket.setSoTimeout(20_000);
         socket.setTcpNoDelay(true);
--- a/src/test/java/reedquay/net/UnreadAtCloseTest.java
+++ b/src/test/java/reedquay/net/UnreadAtCloseTest.java
@@ -25,6 +25,8 @@
     private static final int PIPELINED = 5;
     private static final int BACKLOG = 60; // more than are accepted in one turn
     private static final String LARGE_VALUE = "\\x" + "9f".repeat(60 * 1024);
+    private static final int SMALL_BUFFER_BYTES = 4096;
+    private static final int MAX_ASKED = 20_000;
     private static final long ALLOWED_NANOS = 1_000_000_000;
 
     private final List<BlockingClient> clients = new ArrayList<>();
@@ -155,15 +157,14 @@
     /** Prevents an end over a request that arrives unread while the client's answers wait to be read by it. */
     @Test void requestThatIsUnreadBehindUnreadAnswersIsAnsweredAtADrain() throws Exception {
         start();
-        BlockingClient client = startedClient();
+        BlockingClient client = new BlockingClient(address, SMALL_BUFFER_BYTES).startup();
+        clients.add(client);
         int asked = 0;
         while (counter("client.outputbytes") == 0) {
-            ByteBuf batch = Unpooled.buffer();
-            for (int i = 0; i < 400; i++, asked++) {
-                Messages.query(batch, "SHOW counters");
-            }
-            client.send(batch);
-            Thread.sleep(20);
+            assertTrue(asked < MAX_ASKED, "all answers fit into the buffers of the system");
+            client.send(Messages.query(Unpooled.buffer(), "SHOW counters"));
+            asked++;
+            Thread.sleep(1);
         }
         whileHeldUpBefore(() -> client.send(request()), ClientSession::drain);
         for (int i = 0; i < asked; i++) {
--- a/src/test/java/reedquay/sessions/PendingCloseTest.java
+++ b/src/test/java/reedquay/sessions/PendingCloseTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import reedquay.sessions.PendingClose.Ending;
 import reedquay.sessions.PendingClose.State;
 
 /** Every order of events of a client with up to three messages of two parts each, against the rules for a close. */
@@ -16,7 +17,9 @@
     private static final long BUSY = 10;
 
     /** A guard that is left out, to see that the worlds notice it. */
-    private enum LeftOut { NOTHING, REFUSAL, DROPPED_INPUT, WAITING, OWED, OWED_BY_ENDLESS, PARTIAL, ENDLESS }
+    private enum LeftOut {
+        NOTHING, REFUSAL, DROPPED_INPUT, WAITING, OWED, OWED_BY_ENDLESS, PARTIAL, LAST_READ, ENDLESS
+    }
 
     /**
      * A client and its session. sent, read: parts; refusedFrom: the first message that is refused, none if negative;
@@ -84,8 +87,13 @@
             boolean refused = world.refusedFrom >= 0 && world.finished >= world.refusedFrom;
             next.add(world.with(world.sent, world.read, world.finished + (refused ? 1 : 0), !refused, world.state));
         }
-        return !ends(world, close, leftOut) ? next : List.of(new World(world.messages, world.sent, world.read,
-                world.refusedFrom, world.finished, world.inFlight, world.behind, world.state, world.dropped, true));
+        Ending ending = ending(world, close, leftOut);
+        boolean isLastReadFull = ending == Ending.IN_ORDER && world.read < world.sent && leftOut != LeftOut.LAST_READ;
+        if (ending == Ending.NONE || isLastReadFull) {
+            return isLastReadFull ? List.of(read(world, close, leftOut)) : next;
+        }
+        return List.of(new World(world.messages, world.sent, world.read, world.refusedFrom, world.finished,
+                world.inFlight, world.behind, world.state, world.dropped, true));
     }
 
     /** Reads one part; whether more is left is known only after it. */
@@ -97,21 +105,21 @@
                 world.read + 1 < world.sent, world.state, world.dropped || isDropped, false);
     }
 
-    private static boolean ends(World world, PendingClose close, LeftOut leftOut) {
+    private static Ending ending(World world, PendingClose close, LeftOut leftOut) {
         boolean waits = world.waits() && !world.dropped; // the session does not know of what was dropped
         boolean awaits = world.inFlight && leftOut != LeftOut.WAITING;
         boolean owes = waits && leftOut != LeftOut.OWED || world.isPartial() && leftOut != LeftOut.PARTIAL;
         boolean owesMessage = waits && leftOut != LeftOut.OWED_BY_ENDLESS;
-        return close.ends(awaits, false, owes, () -> owesMessage);
+        return close.ending(awaits, false, owes, () -> owesMessage);
     }
 
-    /** What a world breaks; null for nothing. Of a message that is half read, the rest is seen to be unread. */
+    /** What a world breaks; null for nothing. An endless client sees by a reset that the rest was not read. */
     private static String violation(World world) {
         if (!world.ended) {
             return null;
         }
-        boolean isCutOff = world.state == State.PENDING && world.isPartial();
-        return world.isUnanswered() || isCutOff ? "a message that was read has no answer: " + world : null;
+        boolean isCutOff = world.state == State.PENDING && (world.isPartial() || world.read < world.sent);
+        return world.isUnanswered() || isCutOff ? "a message that was sent has no answer: " + world : null;
     }
 
     /** What the worlds of up to three messages break; a session that is to close and does not is a violation too. */
@@ -173,6 +181,6 @@
         assertFalse(close.judgeEndless(12 * BUSY - 1));
         assertTrue(close.judgeEndless(12 * BUSY));
         assertFalse(close.judgeEndless(13 * BUSY), "it is told once");
-        assertFalse(close.ends(false, true, false, () -> false), "an error is sent first");
+        assertEquals(Ending.NONE, close.ending(false, true, false, () -> false), "an error is sent first");
     }
 }
