Read a socket before its client counts as silent or its message as one without an end

What callers saw: after a hold-up of the process a client was closed as silent, or its message rejected with 08P01, although what it had sent in time stood unread in the socket. Fix: it reads the socket first, and a message that has ended then is progress.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -462,17 +462,27 @@
         } else if (state != State.STARTUP && !input.hasPartialMessage() || !channel.config().isAutoRead()) {
             lastProgressAt = now;
         } else if (now - lastProgressAt >= Limits.UNUSED_TIMEOUT_NANOS) {
-            if (input.hasPartialMessage()) {
-                rejectInput("a message that does not end");
-            } else {
-                closing(CloseReason.SILENT);
-                channel.close();
-            }
+            endStalledInput();
         } else if (heldBack == null && input.hasPartialMessage()) {
             updateHeldBack(false);
         }
     }
 
+    /** Ends the session of a client whose message does not end, or that has sent none, unless the rest is unread. */
+    private void endStalledInput() {
+        presence();
+        boolean hasMessageEnded = input.hasMessage() || input.refusedInAll() != lastRefusedInAll;
+        if (hasMessageEnded || !channel.isActive()) {
+            return;
+        }
+        if (input.hasPartialMessage()) {
+            rejectInput("a message that does not end");
+        } else {
+            closing(CloseReason.SILENT);
+            channel.close();
+        }
+    }
+
     /** A message that has ended is progress, also where it is read past. */
     private void noteProgress(long now) {
         if (input.refusedInAll() != lastRefusedInAll) {
@@ -853,7 +863,10 @@
     /** Gives up an incomplete message that keeps a session from closing for room, once it has taken long. */
     private void rejectStalledMessage(long now, long maxNanos) {
         if (pendingCloseReason == CloseReason.ROOM && input.hasPartialMessage() && now - lastProgressAt >= maxNanos) {
-            rejectInput("a session that is held back while descriptors are short");
+            presence();
+            if (input.hasPartialMessage()) {
+                rejectInput("a session that is held back while descriptors are short");
+            }
         }
     }
 
