Refuse what stands unread at the end of a shutdown, or reset its connection

What callers saw: where a session was still open at the end of a shutdown, or failed, the connection ended in order over a request in its socket. Cause: only what had been read was refused. Fix: the socket is read to its end within the time of the session, what comes is refused (57P03), and the connection ends in order only over an empty socket; where the time does not suffice, the client sees a reset.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -986,18 +986,40 @@
             write(refusal());
         }
         departureChecked = true;
-        long start = System.nanoTime();
-        while (channel.isActive() && canHandleMessage() && System.nanoTime() - start < allowedNanos) {
-            handleNext(); // there is no later turn
-            output.flushIfLarge();
+        lastReadWasEmpty = false; // what was read earlier tells nothing now
+        long end = System.nanoTime() + allowedNanos;
+        while (state != State.CLOSING && channel.isActive() && System.nanoTime() < end) { // there is no later turn
+            handleAll(end);
+            if (closeInOrder(reason) || output.unreadBytes() > 0) {
+                break;
+            }
         }
         closeIfAbandoned();
     }
 
+    /** Handles what was read and what the socket holds, up to a time. */
+    private void handleAll(long end) {
+        boolean isEmpty = false;
+        while (channel.isActive() && !isEmpty && System.nanoTime() < end) {
+            if (canHandleMessage()) {
+                handleNext();
+                output.flushIfLarge();
+            } else {
+                SocketInput.readNow(channel);
+                isEmpty = lastReadWasEmpty;
+            }
+        }
+    }
+
+    /** Closes the connection, by a reset where the client may have sent something that has no answer. */
     private void closeIfAbandoned() {
-        if (abandonReason != null && state != State.CLOSING) {
-            closeAfterFlush(abandonReason);
+        if (abandonReason == null || state == State.CLOSING || !channel.isActive()) {
+            return;
+        }
+        if (owesAnswer() || !lastReadWasEmpty) {
+            resetOnClose();
         }
+        closeAfterFlush(abandonReason);
     }
 
     /** The answer to a statement that this gateway does not handle any more; nothing of it has run. */
