--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -877,7 +877,10 @@
         boolean hasErrorToSend = inputError != null;
         switch (pendingClose.ending(isAwaitingOutcome(), hasErrorToSend, owesAnswer(), this::owesAnswerToMessage)) {
             case IN_ORDER -> closeInOrder(pendingCloseReason);
-            case BY_RESET -> closeAfterFlush(pendingCloseReason);
+            case BY_RESET -> {
+                resetOnClose();
+                closeAfterFlush(pendingCloseReason);
+            }
             case NONE -> { }
         }
     }
--- a/src/test/java/reedquay/net/PipelinedRequestsTest.java
+++ b/src/test/java/reedquay/net/PipelinedRequestsTest.java
@@ -141,7 +141,8 @@
     @Test void clientThatSendsWithoutEndDoesNotHoldUpADrain() throws Exception {
         startWithRequestInFlight("first");
         client.send(Unpooled.buffer().writeByte('d').writeInt(4 + 8192).writeZero(4096)); // never at a message's end
-        Thread writer = new Thread(() -> assertThrows(IOException.class, () -> {
+        Throwable[] failure = new Throwable[1];
+        Thread writer = new Thread(() -> failure[0] = assertThrows(IOException.class, () -> {
             while (true) {
                 client.send(Unpooled.buffer().writeZero(4096).writeByte('d').writeInt(4 + 8192).writeZero(4096));
             }
@@ -150,6 +151,7 @@
         gateway.runOnEventLoop(session::drain).join();
         assertEquals(List.of("E:53300 Z"), answers(1));
         writer.join(); // ends by a failed write alone
+        assertTrue(failure[0].getMessage().contains("reset"), "an end in order hides unread input: " + failure[0]);
     }
 
     /**
