Accept all that waits in the backlog before the listener closes

What callers saw: at a planned restart, connections that had been established while the event loop was held up, more than one turn accepts, were reset. Cause: the listener closed a fixed time after accepting resumed, whatever waited. Fix: it reads its backlog to the end first, at most once through its length. Evidence: UnreadAtCloseTest#connectionsInTheBacklogAreServedWhenTheListenerCloses failed before (Connection reset by peer) and passes. Its first form had a limit of 128 descriptors, by which its 60 clients were closed for room; it now has 1,024.

--- a/src/main/java/reedquay/net/AcceptHandler.java
+++ b/src/main/java/reedquay/net/AcceptHandler.java
@@ -11,7 +11,7 @@
  */
 final class AcceptHandler extends ChannelInboundHandlerAdapter {
     static final long PAUSE_NANOS = 20_000_000;
-    private static final int MAX_ACCEPTS_PER_READ = 16; // Netty's default
+    static final int MAX_ACCEPTS_PER_READ = 16; // Netty's default
 
     /** What the listener's owner does about its events. */
     interface Listener {
--- a/src/main/java/reedquay/net/Gateway.java
+++ b/src/main/java/reedquay/net/Gateway.java
@@ -37,6 +37,7 @@
  */
 public final class Gateway {
     private static final int BACKLOG = 1024;
+    private static final int MAX_ACCEPTING_READS = BACKLOG / AcceptHandler.MAX_ACCEPTS_PER_READ + 1;
     private static final long BIND_TIMEOUT_NANOS = 2_000_000_000;
     private static final long BIND_RETRY_NANOS = 50_000_000;
     private static final long NOT_PAUSED = Long.MIN_VALUE;
@@ -72,6 +73,7 @@
     private final long startedAt;
     private long lastSweepAt;
     private boolean closingSessions;
+    private boolean backlogEmpty; // since it was last asked
     private boolean ready;
     private boolean stopRequested;
     private boolean stopping; // accepts no more; terminates with its last session
@@ -443,6 +445,7 @@
         }
 
         @Override public void backlogEmptied() {
+            backlogEmpty = true;
             acceptPausedAt = NOT_PAUSED;
         }
     }
@@ -517,11 +520,20 @@
         stopping = true;
         updateAccepting();
         if (listener != null) {
-            loop.schedule(() -> listener.close(), sweepInterval, TimeUnit.NANOSECONDS);
+            loop.schedule(this::closeListener, sweepInterval, TimeUnit.NANOSECONDS);
         }
         loop.schedule(this::checkStopped, sweepInterval, TimeUnit.NANOSECONDS);
     }
 
+    /** Closes the listener once all connections that wait in its backlog are accepted, since it would reset them. */
+    private void closeListener() {
+        backlogEmpty = false;
+        for (int reads = 0; reads < MAX_ACCEPTING_READS && !backlogEmpty; reads++) {
+            SocketInput.readNow(listener);
+        }
+        listener.close();
+    }
+
     /** Stops at once, whatever is in flight; blocks until then. */
     void halt() {
         loop.execute(this::terminate);
--- a/src/test/java/reedquay/net/UnreadAtCloseTest.java
+++ b/src/test/java/reedquay/net/UnreadAtCloseTest.java
@@ -21,6 +21,7 @@
 @Timeout(value = 40, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class UnreadAtCloseTest extends ScriptedGateway {
     private static final int SOCKETS = 128;
+    private static final int MANY_SOCKETS = 1024;
     private static final int HOLD_UP_MILLIS = 60;
     private static final int PIPELINED = 5;
     private static final int BACKLOG = 60; // more than are accepted in one turn
@@ -38,8 +39,12 @@
     }
 
     private void start() throws IOException {
+        start(SOCKETS);
+    }
+
+    private void start(int sockets) throws IOException {
         JsonObject config = configuration();
-        config.getAsJsonObject("limits").addProperty("sockets", SOCKETS);
+        config.getAsJsonObject("limits").addProperty("sockets", sockets);
         start(config, null);
         engine.onArrival = arrived -> engine.afterNextBatch = engine::pushBackHeld;
     }
@@ -252,7 +257,7 @@
 
     /** Prevents resets of connections that wait to be accepted when the listener closes. */
     @Test void connectionsInTheBacklogAreServedWhenTheListenerCloses() throws Exception {
-        start();
+        start(MANY_SOCKETS);
         Thread.sleep(100);
         gateway.stop();
         long stoppedAt = System.nanoTime();
