Send the error of a client whose input turns out malformed at the last read

By reading: where the last read before an end finds input malformed in a session that refuses messages, the connection would have ended without the error. No order was found that reaches it in a run: the new test of malformed input that is unread at a drain passes without the guard too, since such input is first kept as a message.

--- a/src/main/java/reedquay/net/ClientSession.java
+++ b/src/main/java/reedquay/net/ClientSession.java
@@ -891,7 +891,7 @@
      */
     private boolean closeInOrder(CloseReason reason) {
         output.flush();
-        for (int reads = 0; reads < MAX_READS_FOR_PRESENCE && !owesAnswer(); reads++) {
+        for (int reads = 0; reads < MAX_READS_FOR_PRESENCE && !owesAnswer() && inputError == null; reads++) {
             if (output.unreadBytes() > 0) {
                 closeOnceWritten();
                 return false;
--- a/src/test/java/reedquay/net/UnreadAtCloseTest.java
+++ b/src/test/java/reedquay/net/UnreadAtCloseTest.java
@@ -141,6 +141,14 @@
         assertEquals("closed", client.readAnswer());
     }
 
+    /** Prevents that a client whose malformed message is unread at a drain gets no error. */
+    @Test void malformedMessageThatIsUnreadAtADrainGetsItsError() throws Exception {
+        start();
+        BlockingClient client = startedClient();
+        whileHeldUpBefore(() -> client.send(Unpooled.buffer().writeByte(1).writeInt(8)), ClientSession::drain);
+        assertEquals("E:08P01 closed", client.readAnswer());
+    }
+
     /** Prevents the same for a request that arrives while the last answer before the drain is sent. */
     @Test void requestThatIsUnreadWhenTheLastAnswerIsSentIsAnswered() throws Exception {
         start();
