--- a/lab/src/main/java/reedquay/lab/restart/RestartCommand.java
+++ b/lab/src/main/java/reedquay/lab/restart/RestartCommand.java
@@ -64,8 +64,9 @@
     }
 
     private int runAll(Path library) throws IOException, InterruptedException {
-        System.out.println("| run | requests | served | refused | failed | crossed | met the end | for room |"
-                + " drained | turns over 20 ms | violations |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        System.out.println("| run | requests | served | refused | failed | crossed | met the end | for room | drained"
+                + " | turns over 20 ms | violations |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         int broken = 0;
         for (RestartPlan plan : plans()) {
             RestartRun.Result result = new RestartRun(plan, root, library).run();
